Decision machines: table, kernel, membership, rollout, failover and requests

Change: typed positions, verdicts and records; a kernel that dispatches events to plug-ins that register themselves; state machines for the table, membership, failover and one request. Not yet run: nothing here is tested; the daemon that drives these machines comes next.

--- /dev/null
+++ b/crates/persimmon-request/src/view.rs
@@ -0,0 +1,49 @@
+//! The immutable snapshot that traffic threads route by.
+
+use std::sync::Arc;
+
+use persimmon_table::Table;
+use persimmon_types::{InstanceId, ServiceId, Term, TermStarts};
+
+/// What is in force for one group.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GroupView {
+    /// The term in force, zero if none is known.
+    pub term: Term,
+    /// The primary of that term, if the table has it.
+    pub primary: Option<InstanceId>,
+    /// Where recent terms began.
+    pub starts: TermStarts,
+}
+
+/// What is in force on this daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// Rises with every snapshot.
+    pub revision: u64,
+    /// The table's version.
+    pub version: u64,
+    /// The table.
+    pub table: Arc<Table>,
+    /// The groups, by service.
+    pub groups: Vec<GroupView>,
+    /// Whether the daemon may be without the table in force.
+    pub cut_off: bool,
+    /// Whether the daemon is shutting down.
+    pub draining: bool,
+}
+
+impl View {
+    /// The group of a service.
+    #[must_use]
+    pub fn group(&self, service: ServiceId) -> Option<&GroupView> {
+        self.groups.get(service.index())
+    }
+
+    /// The primary of a service and its term.
+    #[must_use]
+    pub fn primary(&self, service: ServiceId) -> Option<(InstanceId, Term)> {
+        let group = self.group(service)?;
+        group.primary.map(|primary| (primary, group.term))
+    }
+}
--- /dev/null
+++ b/crates/persimmon-types/src/entity.rs
@@ -0,0 +1,83 @@
+//! Dense typed indices of the table's rows, and the names of daemons.
+//!
+//! Invariant: an index is valid only for the table version that produced it; names are the stable
+//! identity across versions.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! entity {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(u32);
+
+        impl $name {
+            /// Creates the entity with the given index.
+            #[must_use]
+            pub fn new(index: usize) -> Self {
+                debug_assert!(index < u32::MAX as usize);
+                Self(u32::try_from(index).unwrap_or(u32::MAX))
+            }
+
+            /// The position of the entity in its section of the table.
+            #[must_use]
+            pub fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($prefix, "{}"), self.0)
+            }
+        }
+    };
+}
+
+entity!(
+    /// A service: one database group, addressed by callers as a database name.
+    ServiceId,
+    "service"
+);
+entity!(
+    /// A backend server: one instance of a database group.
+    InstanceId,
+    "instance"
+);
+entity!(
+    /// A place: one failure domain.
+    PlaceId,
+    "place"
+);
+entity!(
+    /// A kind of work, with its own limits on waiting.
+    KindId,
+    "kind"
+);
+
+/// The name of one daemon, unique for the life of its process.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DaemonId(Arc<str>);
+
+impl DaemonId {
+    /// Creates the id from a name.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self(Arc::from(name))
+    }
+
+    /// The name as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for DaemonId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
