--- a/crates/persimmon-failover/src/change.rs
+++ b/crates/persimmon-failover/src/change.rs
@@ -72,12 +72,7 @@
 impl Sealing {
     /// Begins to seal a term.
     pub(crate) fn new(term: Term, now: Time) -> Self {
-        Self {
-            term,
-            since: now,
-            sent: now,
-            ..Self::default()
-        }
+        Self { term, since: now, sent: now, ..Self::default() }
     }
 
     /// Whether the promotion may be decided: a majority is sealed, and the rest has answered, has
@@ -89,11 +84,7 @@
         members: usize,
         majority: usize,
     ) -> bool {
-        let majority = if rules.omit == Omission::Seal {
-            1
-        } else {
-            majority
-        };
+        let majority = if rules.omit == Omission::Seal { 1 } else { majority };
         if self.sealed.len() < majority {
             return false;
         }
--- a/crates/persimmon-failover/src/group.rs
+++ b/crates/persimmon-failover/src/group.rs
@@ -15,7 +15,7 @@
 
 use crate::change::{Phase, Sealing};
 use crate::monitor::Monitor;
-use crate::plugin::{announce, is_superseded};
+use crate::plugin::{is_superseded, learn};
 use crate::repair::{first_record, follow_if_stray, order_follow};
 use crate::rules::{Omission, Rules};
 use crate::writer::{Writer, key, parse};
@@ -49,11 +49,7 @@
     }
 
     fn record(&self, cx: &Context<'_>) -> Option<GroupRecord> {
-        cx.shared
-            .groups
-            .get(&self.name)
-            .map(|g| g.record.clone())
-            .filter(|r| r.term > Term(0))
+        cx.shared.groups.get(&self.name).map(|g| g.record.clone()).filter(|r| r.term > Term(0))
     }
 
     fn table(cx: &Context<'_>) -> Arc<Table> {
@@ -72,11 +68,7 @@
         members: &[DaemonId],
         is_settled: bool,
     ) {
-        let holders = ranked(
-            &format!("group-{}", self.name),
-            members,
-            GroupRecord::RESERVATIONS,
-        );
+        let holders = ranked(&format!("group-{}", self.name), members, GroupRecord::RESERVATIONS);
         let turn = holders.iter().position(|h| *h == cx.shared.me);
         self.writer.advance(cx);
         let Some(record) = self.record(cx) else {
@@ -128,10 +120,7 @@
     fn survey(&self, cx: &mut Context<'_>, table: &Table, service: ServiceId) {
         for id in table.members(service) {
             let row = table.instance_row(*id);
-            cx.act(Action::Probe {
-                instance: Arc::clone(&row.name),
-                address: row.address,
-            });
+            cx.act(Action::Probe { instance: Arc::clone(&row.name), address: row.address });
         }
     }
 
@@ -152,10 +141,7 @@
             return;
         };
         let row = table.instance_row(id);
-        cx.act(Action::Probe {
-            instance: Arc::clone(&row.name),
-            address: row.address,
-        });
+        cx.act(Action::Probe { instance: Arc::clone(&row.name), address: row.address });
     }
 
     /// Writes the record if the store lacks this term, or its reservations are not for the
@@ -164,12 +150,7 @@
         if self.writer.is_busy() || self.phase != Phase::Idle {
             return;
         }
-        let stored = cx
-            .shared
-            .groups
-            .get(&self.name)
-            .map(|g| g.stored_term)
-            .unwrap_or_default();
+        let stored = cx.shared.groups.get(&self.name).map(|g| g.stored_term).unwrap_or_default();
         if stored >= record.term && record.is_reserved_for(holders) {
             return;
         }
@@ -211,14 +192,7 @@
         let agrees = self.monitor.last_failed();
         for asker in std::mem::take(&mut self.monitor.asked_by) {
             let service = Arc::clone(&self.name);
-            cx.send(
-                &asker,
-                PeerMessage::Suspicion {
-                    service,
-                    term,
-                    agrees,
-                },
-            );
+            cx.send(&asker, PeerMessage::Suspicion { service, term, agrees });
         }
     }
 
@@ -227,14 +201,7 @@
         let known = cx.shared.term(&self.name);
         if known > term {
             let service = Arc::clone(&self.name);
-            cx.send(
-                from,
-                PeerMessage::Suspicion {
-                    service,
-                    term,
-                    agrees: false,
-                },
-            );
+            cx.send(from, PeerMessage::Suspicion { service, term, agrees: false });
             return;
         }
         self.monitor.asked_by.push(from.clone());
@@ -251,10 +218,7 @@
             return;
         };
         let row = table.instance_row(id);
-        cx.act(Action::Probe {
-            instance: Arc::clone(&row.name),
-            address: row.address,
-        });
+        cx.act(Action::Probe { instance: Arc::clone(&row.name), address: row.address });
     }
 
     /// A holder says what it sees.
@@ -262,10 +226,7 @@
         if term != cx.shared.term(&self.name) {
             return;
         }
-        let Phase::Asking {
-            agree, disagree, ..
-        } = &mut self.phase
-        else {
+        let Phase::Asking { agree, disagree, .. } = &mut self.phase else {
             return;
         };
         if agrees {
@@ -279,22 +240,13 @@
     fn advance(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord) {
         match &self.phase {
             Phase::Idle => self.consider(cx, rules, record),
-            Phase::Asking {
-                since,
-                agree,
-                disagree,
-            } => {
+            Phase::Asking { since, agree, disagree } => {
                 let (since, agree, disagree) = (*since, *agree, *disagree);
                 self.weigh(cx, rules, record, since, agree, disagree);
             }
             Phase::Claiming { since, .. } => {
                 if cx.now.since(*since) > rules.phase_limit {
-                    self.abandon(
-                        cx,
-                        rules,
-                        Term(record.next_term),
-                        "the store does not answer",
-                    );
+                    self.abandon(cx, rules, Term(record.next_term), "the store does not answer");
                 }
             }
             Phase::Sealing(_) => self.advance_seal(cx, rules),
@@ -311,11 +263,7 @@
         let Some(reason) = self.monitor.suspicion(rules) else {
             return;
         };
-        self.phase = Phase::Asking {
-            since: cx.now,
-            agree: 0,
-            disagree: 0,
-        };
+        self.phase = Phase::Asking { since: cx.now, agree: 0, disagree: 0 };
         cx.record(TimelineKind::PrimarySuspected {
             service: Arc::clone(&self.name),
             term: record.term,
@@ -326,10 +274,7 @@
                 continue;
             }
             let service = Arc::clone(&self.name);
-            let message = PeerMessage::AskSuspicion {
-                service,
-                term: record.term,
-            };
+            let message = PeerMessage::AskSuspicion { service, term: record.term };
             cx.send(&reservation.holder, message);
         }
     }
@@ -353,9 +298,7 @@
             return;
         }
         if agree == 0 && disagree > 0 {
-            self.phase = Phase::Backoff {
-                until: cx.now + rules.backoff,
-            };
+            self.phase = Phase::Backoff { until: cx.now + rules.backoff };
             return;
         }
         self.begin(cx, rules, record);
@@ -367,9 +310,8 @@
             self.seal(cx, Term(record.term.0 + 1));
             return;
         }
-        let reservation = record
-            .reservation(&cx.shared.me)
-            .filter(|r| !self.spent.contains(&r.term));
+        let reservation =
+            record.reservation(&cx.shared.me).filter(|r| !self.spent.contains(&r.term));
         match reservation {
             Some(reservation) => self.seal(cx, reservation.term),
             None => self.claim(cx, record),
@@ -380,10 +322,7 @@
         let mut next = record.clone();
         let holder = cx.shared.me.clone();
         next.reserved.retain(|r| r.holder != holder);
-        next.reserved.push(Reservation {
-            term: Term(next.next_term),
-            holder: holder.clone(),
-        });
+        next.reserved.push(Reservation { term: Term(next.next_term), holder: holder.clone() });
         next.next_term += 1;
         next.writer = Some(holder);
         next.nonce += 1;
@@ -392,18 +331,12 @@
             return;
         };
         let request = cx.store_write(&key(&self.name), expect, Arc::from(value));
-        self.phase = Phase::Claiming {
-            request,
-            since: cx.now,
-        };
+        self.phase = Phase::Claiming { request, since: cx.now };
     }
 
     fn seal(&mut self, cx: &mut Context<'_>, term: Term) {
         self.phase = Phase::Sealing(Sealing::new(term, cx.now));
-        cx.record(TimelineKind::FailoverBegan {
-            service: Arc::clone(&self.name),
-            term,
-        });
+        cx.record(TimelineKind::FailoverBegan { service: Arc::clone(&self.name), term });
         self.send_seals(cx, term, &BTreeSet::new());
     }
 
@@ -417,15 +350,8 @@
             if except.contains(&row.name) {
                 continue;
             }
-            let order = Order::Seal {
-                term,
-                decider: cx.shared.me.clone(),
-            };
-            cx.act(Action::Order {
-                instance: Arc::clone(&row.name),
-                address: row.address,
-                order,
-            });
+            let order = Order::Seal { term, decider: cx.shared.me.clone() };
+            cx.act(Action::Order { instance: Arc::clone(&row.name), address: row.address, order });
         }
     }
 
@@ -469,9 +395,7 @@
             return;
         };
         let is_mine = Self::table(cx).instance(instance).is_some_and(|id| {
-            *Self::table(cx)
-                .service_row(Self::table(cx).instance_row(id).service)
-                .name
+            *Self::table(cx).service_row(Self::table(cx).instance_row(id).service).name
                 == *self.name
         });
         if sealing.term != term || !is_mine {
@@ -507,16 +431,9 @@
         };
         let term = sealing.term;
         self.spent.insert(term);
-        cx.record(TimelineKind::TermSealed {
-            service: Arc::clone(&self.name),
-            term,
-        });
-        self.phase = Phase::Promoting {
-            term,
-            target: Arc::clone(&target),
-            since: cx.now,
-            sent: cx.now,
-        };
+        cx.record(TimelineKind::TermSealed { service: Arc::clone(&self.name), term });
+        self.phase =
+            Phase::Promoting { term, target: Arc::clone(&target), since: cx.now, sent: cx.now };
         self.send_promotion(cx, term, &target);
     }
 
@@ -525,27 +442,14 @@
         let Some(id) = table.instance(target) else {
             return;
         };
-        let order = Order::Promote {
-            term,
-            decider: cx.shared.me.clone(),
-        };
+        let order = Order::Promote { term, decider: cx.shared.me.clone() };
         let address = table.instance_row(id).address;
-        cx.act(Action::Order {
-            instance: Arc::clone(target),
-            address,
-            order,
-        });
+        cx.act(Action::Order { instance: Arc::clone(target), address, order });
     }
 
     fn advance_promotion(&mut self, cx: &mut Context<'_>, rules: &Rules) {
         let now = cx.now;
-        let Phase::Promoting {
-            term,
-            target,
-            since,
-            sent,
-        } = &mut self.phase
-        else {
+        let Phase::Promoting { term, target, since, sent } = &mut self.phase else {
             return;
         };
         let (term, target) = (*term, Arc::clone(target));
@@ -574,12 +478,7 @@
         term: Term,
         outcome: OrderOutcome,
     ) {
-        let Phase::Promoting {
-            term: wanted,
-            target,
-            ..
-        } = &self.phase
-        else {
+        let Phase::Promoting { term: wanted, target, .. } = &self.phase else {
             return;
         };
         if *wanted != term || target != instance {
@@ -611,38 +510,19 @@
         }
         record.term = term;
         record.primary = Arc::clone(primary);
-        record.starts.push(TermStart {
-            term,
-            inherited: inherited.lsn,
-        });
+        record.starts.push(TermStart { term, inherited: inherited.lsn });
         record.next_term = record.next_term.max(term.0 + 1);
         record.reserved.retain(|r| r.term > term);
         record.writer = Some(cx.shared.me.clone());
         record.nonce += 1;
         let service = Arc::clone(&self.name);
-        cx.record(TimelineKind::Promoted {
-            service,
-            term,
-            primary: Arc::clone(primary),
-        });
-        let seen = GroupSeen {
-            version: 0,
-            record: record.clone(),
-        };
-        cx.shared.learn(&seen);
-        announce(cx, &record);
-        self.tell_everyone(cx, &seen);
+        cx.record(TimelineKind::Promoted { service, term, primary: Arc::clone(primary) });
+        let seen = GroupSeen { version: 0, record: record.clone() };
+        learn(cx, &seen);
         self.order_all(cx, &record);
         self.writer.want(cx, record);
     }
 
-    fn tell_everyone(&self, cx: &mut Context<'_>, seen: &GroupSeen) {
-        let key = format!("group-{}-{}", seen.record.service, seen.record.term);
-        for target in cx.shared.relay_targets(&key) {
-            cx.send(&target, PeerMessage::Group(seen.clone()));
-        }
-    }
-
     fn order_all(&self, cx: &mut Context<'_>, record: &GroupRecord) {
         let table = Self::table(cx);
         let Some(service) = self.service(&table) else {
@@ -657,9 +537,7 @@
     }
 
     fn abandon(&mut self, cx: &mut Context<'_>, rules: &Rules, term: Term, reason: &str) {
-        self.phase = Phase::Backoff {
-            until: cx.now + rules.backoff,
-        };
+        self.phase = Phase::Backoff { until: cx.now + rules.backoff };
         cx.record(TimelineKind::FailoverAbandoned {
             service: Arc::clone(&self.name),
             term,
@@ -681,11 +559,7 @@
         if let StoreOutcome::Found(version, text) = outcome {
             self.see(cx, *version, text);
         }
-        let Phase::Claiming {
-            request: claim,
-            since,
-        } = &self.phase
-        else {
+        let Phase::Claiming { request: claim, since } = &self.phase else {
             return false;
         };
         if *claim != request {
@@ -722,9 +596,6 @@
         let Some(record) = parse(text).filter(|r| r.service == self.name) else {
             return;
         };
-        let seen = GroupSeen { version, record };
-        if cx.shared.learn(&seen) {
-            announce(cx, &seen.record);
-        }
+        learn(cx, &GroupSeen { version, record });
     }
 }
--- a/crates/persimmon-failover/src/monitor.rs
+++ b/crates/persimmon-failover/src/monitor.rs
@@ -45,9 +45,7 @@
 
     /// Takes in a probe of the primary.
     pub(crate) fn take_in(&mut self, rules: &Rules, outcome: &Result<Status, ProbeFailure>) {
-        let healthy = outcome
-            .as_ref()
-            .is_ok_and(|status| self.is_fit(rules, status));
+        let healthy = outcome.as_ref().is_ok_and(|status| self.is_fit(rules, status));
         if healthy {
             self.clear();
             return;
--- a/crates/persimmon-failover/src/plugin.rs
+++ b/crates/persimmon-failover/src/plugin.rs
@@ -8,16 +8,13 @@
     Action, Context, Event, GroupSeen, OrderFailure, OrderOutcome, PLUGINS, PeerMessage, Plugin,
     PluginEntry, ProbeFailure, RequestId, Status, StoreOutcome,
 };
-use persimmon_types::{DaemonId, GroupRecord, Term, Time, TimelineKind};
+use persimmon_types::{DaemonId, Term, Time, TimelineKind};
 
 use crate::group::Group;
 use crate::rules::Rules;
 
 #[distributed_slice(PLUGINS)]
-static ENTRY: PluginEntry = PluginEntry {
-    order: 30,
-    build: || Box::new(Failover::new()),
-};
+static ENTRY: PluginEntry = PluginEntry { order: 30, build: || Box::new(Failover::new()) };
 
 /// Runs the failover of groups.
 #[derive(Debug)]
@@ -44,12 +41,7 @@
     /// Creates the plug-in with other timing.
     #[must_use]
     pub fn with_rules(rules: Rules) -> Self {
-        Self {
-            rules,
-            groups: BTreeMap::new(),
-            members: Vec::new(),
-            settled_at: Time::ZERO,
-        }
+        Self { rules, groups: BTreeMap::new(), members: Vec::new(), settled_at: Time::ZERO }
     }
 
     fn tick(&mut self, cx: &mut Context<'_>) {
@@ -62,27 +54,13 @@
         let table = Arc::clone(&cx.shared.in_force.table);
         for row in &table.services {
             let name = &row.name;
-            let group = self
-                .groups
-                .entry(Arc::clone(name))
-                .or_insert_with(|| Group::new(Arc::clone(name)));
+            let group =
+                self.groups.entry(Arc::clone(name)).or_insert_with(|| Group::new(Arc::clone(name)));
             group.tick(cx, &self.rules, &self.members, is_settled);
         }
         self.groups.retain(|name, _| table.service(name).is_some());
     }
 
-    fn learn(&mut self, cx: &mut Context<'_>, seen: &GroupSeen) {
-        if !cx.shared.learn(seen) {
-            return;
-        }
-        let record = seen.record.clone();
-        announce(cx, &record);
-        let key = format!("group-{}-{}", record.service, record.term);
-        for target in cx.shared.relay_targets(&key) {
-            cx.send(&target, PeerMessage::Group(seen.clone()));
-        }
-    }
-
     fn probed(
         &mut self,
         cx: &mut Context<'_>,
@@ -127,16 +105,10 @@
 
     fn peer(&mut self, cx: &mut Context<'_>, from: &DaemonId, message: &PeerMessage) {
         match message {
-            PeerMessage::Group(seen) => self.learn(cx, seen),
+            PeerMessage::Group(seen) => learn(cx, seen),
             PeerMessage::Heartbeat { terms, .. } if *terms != cx.shared.term_sum() => {
-                let known = cx
-                    .shared
-                    .groups
-                    .iter()
-                    .map(|(n, g)| (Arc::clone(n), g.record.term));
-                let message = PeerMessage::AskGroups {
-                    known: known.collect(),
-                };
+                let known = cx.shared.groups.iter().map(|(n, g)| (Arc::clone(n), g.record.term));
+                let message = PeerMessage::AskGroups { known: known.collect() };
                 cx.send(from, message);
             }
             PeerMessage::AskGroups { known } => tell_newer(cx, from, known),
@@ -145,11 +117,7 @@
                     group.asked(cx, from, *term);
                 }
             }
-            PeerMessage::Suspicion {
-                service,
-                term,
-                agrees,
-            } => {
+            PeerMessage::Suspicion { service, term, agrees } => {
                 if let Some(group) = self.groups.get_mut(service) {
                     group.opinion(cx, *term, *agrees);
                 }
@@ -166,24 +134,29 @@
         .groups
         .iter()
         .filter(|(name, group)| known.get(name).is_none_or(|term| *term < group.record.term))
-        .map(|(_, group)| GroupSeen {
-            version: group.version,
-            record: group.record.clone(),
-        })
+        .map(|(_, group)| GroupSeen { version: group.version, record: group.record.clone() })
         .collect();
     for seen in newer {
         cx.send(to, PeerMessage::Group(seen));
     }
 }
 
-/// Tells traffic and the time line that a new term is in force on this daemon.
-pub(crate) fn announce(cx: &mut Context<'_>, record: &GroupRecord) {
+/// Takes in a group's record; a new term is put in force, recorded and passed on to peers.
+pub(crate) fn learn(cx: &mut Context<'_>, seen: &GroupSeen) {
+    if !cx.shared.learn(seen) {
+        return;
+    }
+    let record = &seen.record;
     cx.record(TimelineKind::TermInForce {
         service: Arc::clone(&record.service),
         term: record.term,
         primary: Arc::clone(&record.primary),
     });
     cx.publish();
+    let key = format!("group-{}-{}", record.service, record.term);
+    for target in cx.shared.relay_targets(&key) {
+        cx.send(&target, PeerMessage::Group(seen.clone()));
+    }
 }
 
 impl Plugin for Failover {
@@ -194,23 +167,13 @@
     fn handle(&mut self, cx: &mut Context<'_>, event: &Event) {
         match event {
             Event::Tick => self.tick(cx),
-            Event::Group(seen) => self.learn(cx, seen),
+            Event::Group(seen) => learn(cx, seen),
             Event::Store { request, outcome } => self.stored(cx, *request, outcome),
-            Event::Probed {
-                instance, outcome, ..
-            } => self.probed(cx, instance, outcome),
-            Event::Sealed {
-                instance,
-                term,
-                outcome,
-            } => {
+            Event::Probed { instance, outcome, .. } => self.probed(cx, instance, outcome),
+            Event::Sealed { instance, term, outcome } => {
                 self.ordered(cx, instance, *term, *outcome, false);
             }
-            Event::Promoted {
-                instance,
-                term,
-                outcome,
-            } => {
+            Event::Promoted { instance, term, outcome } => {
                 self.ordered(cx, instance, *term, *outcome, true);
             }
             Event::Peer { from, message } => self.peer(cx, from, message),
--- a/crates/persimmon-failover/src/repair.rs
+++ b/crates/persimmon-failover/src/repair.rs
@@ -44,11 +44,7 @@
         address: table.instance_row(primary).address,
     };
     let address = table.instance_row(id).address;
-    cx.act(Action::Order {
-        instance: Arc::clone(instance),
-        address,
-        order,
-    });
+    cx.act(Action::Order { instance: Arc::clone(instance), address, order });
 }
 
 /// The first record of a group, once a majority of its instances has answered and one of them is
@@ -61,10 +57,7 @@
     if monitor.statuses.len() < table.majority(service) {
         return None;
     }
-    let primaries = monitor
-        .statuses
-        .iter()
-        .filter(|(_, s)| s.role == Role::Primary);
+    let primaries = monitor.statuses.iter().filter(|(_, s)| s.role == Role::Primary);
     let (name, status) = primaries.max_by_key(|(_, s)| s.term)?;
     let mut record = GroupRecord::new(&table.service_row(service).name, name);
     record.term = status.term;
--- a/crates/persimmon-failover/src/writer.rs
+++ b/crates/persimmon-failover/src/writer.rs
@@ -7,6 +7,7 @@
 use persimmon_kernel::{Context, GroupSeen, RequestId, StoreOutcome};
 use persimmon_types::{GroupRecord, Time};
 
+use crate::plugin::learn;
 use crate::rules::Rules;
 
 /// The key of a group's record.
@@ -56,11 +57,7 @@
             self.request = Some(cx.store_read(&key));
             return;
         }
-        let expect = cx
-            .shared
-            .groups
-            .get(&record.service)
-            .map_or(0, |g| g.version);
+        let expect = cx.shared.groups.get(&record.service).map_or(0, |g| g.version);
         let Ok(value) = serde_json::to_string(record) else {
             return;
         };
@@ -100,7 +97,7 @@
         let Some(record) = self.wanted.take() else {
             return;
         };
-        cx.shared.learn(&GroupSeen { version, record });
+        learn(cx, &GroupSeen { version, record });
     }
 
     fn reconcile(&mut self, cx: &mut Context<'_>, version: u64, text: &str) {
@@ -123,10 +120,7 @@
             }
             wanted.reserved.sort_by_key(|r| r.term);
         }
-        if cx.shared.learn(&GroupSeen {
-            version,
-            record: theirs,
-        }) {
+        if cx.shared.learn(&GroupSeen { version, record: theirs }) {
             cx.publish();
         }
     }
--- a/crates/persimmon-kernel/src/event.rs
+++ b/crates/persimmon-kernel/src/event.rs
@@ -182,12 +182,6 @@
     #[must_use]
     pub fn primary(term: Term, lsn: Lsn) -> Self {
         let end = Position::new(term, lsn);
-        Self {
-            role: Role::Primary,
-            term,
-            sealed: term,
-            end,
-            majority_age_ms: 0,
-        }
+        Self { role: Role::Primary, term, sealed: term, end, majority_age_ms: 0 }
     }
 }
--- a/crates/persimmon-kernel/src/kernel.rs
+++ b/crates/persimmon-kernel/src/kernel.rs
@@ -39,13 +39,7 @@
         plugins: Vec<Box<dyn Plugin>>,
     ) -> Self {
         let rng = SmallRng::seed_from_u64(seed);
-        Self {
-            shared: Shared::new(me, address),
-            plugins,
-            rng,
-            next_request: 0,
-            now: Time::ZERO,
-        }
+        Self { shared: Shared::new(me, address), plugins, rng, next_request: 0, now: Time::ZERO }
     }
 
     /// Handles one event at time `now` and appends what is to be done to `actions`.
--- a/crates/persimmon-kernel/src/plugin.rs
+++ b/crates/persimmon-kernel/src/plugin.rs
@@ -47,32 +47,20 @@
             return;
         };
         let address = peer.address;
-        self.act(Action::Send {
-            to: to.clone(),
-            address,
-            message,
-        });
+        self.act(Action::Send { to: to.clone(), address, message });
     }
 
     /// Writes an object if it still has the expected version.
     pub fn store_write(&mut self, key: &str, expect: u64, value: Arc<str>) -> RequestId {
         let request = self.request();
-        self.act(Action::StoreWrite {
-            request,
-            key: Arc::from(key),
-            expect,
-            value,
-        });
+        self.act(Action::StoreWrite { request, key: Arc::from(key), expect, value });
         request
     }
 
     /// Reads an object.
     pub fn store_read(&mut self, key: &str) -> RequestId {
         let request = self.request();
-        self.act(Action::StoreRead {
-            request,
-            key: Arc::from(key),
-        });
+        self.act(Action::StoreRead { request, key: Arc::from(key) });
         request
     }
 
--- a/crates/persimmon-kernel/src/shared.rs
+++ b/crates/persimmon-kernel/src/shared.rs
@@ -116,12 +116,8 @@
             return order.into_iter().take(1).collect();
         };
         let first = index * RELAY_FANOUT + 1;
-        let mut targets: Vec<DaemonId> = order
-            .iter()
-            .skip(first)
-            .take(RELAY_FANOUT)
-            .cloned()
-            .collect();
+        let mut targets: Vec<DaemonId> =
+            order.iter().skip(first).take(RELAY_FANOUT).cloned().collect();
         if index != 0 {
             targets.push(order[0].clone());
         }
@@ -137,18 +133,12 @@
     /// The term known of a service.
     #[must_use]
     pub fn term(&self, service: &str) -> Term {
-        self.groups
-            .get(service)
-            .map(|g| g.record.term)
-            .unwrap_or_default()
+        self.groups.get(service).map(|g| g.record.term).unwrap_or_default()
     }
 
     /// Takes in a group's record if it is newer; says whether the term rose.
     pub fn learn(&mut self, seen: &GroupSeen) -> bool {
-        let known = self
-            .groups
-            .entry(Arc::clone(&seen.record.service))
-            .or_default();
+        let known = self.groups.entry(Arc::clone(&seen.record.service)).or_default();
         let term_rose = seen.record.term > known.record.term;
         // A later version of the same term carries new reservations.
         let is_later = seen.record.term == known.record.term && seen.version > known.version;
--- /dev/null
+++ b/crates/persimmon-lab/examples/lab.rs
@@ -0,0 +1,194 @@
+//! `cargo lab`: stand-ins, a demonstration and experiments.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, ExitCode};
+use std::time::Duration;
+
+use gumdrop::Options;
+use persimmon_lab::instance::InstanceConfig;
+use persimmon_lab::platform::{self, Platform};
+use persimmon_lab::{Cluster, ClusterConfig, Deployment, instance};
+
+/// Stand-ins, a demonstration and experiments for persimmonseam.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help and exit
+    help: bool,
+    #[options(command)]
+    command: Option<Subcommand>,
+}
+
+#[derive(Debug, Options)]
+enum Subcommand {
+    /// start a whole deployment and keep it running
+    Demo(DemoArguments),
+    /// run the stand-in of the platform
+    Platform(PlatformArguments),
+    /// run the stand-in of one instance
+    Instance(InstanceArguments),
+}
+
+#[derive(Debug, Options)]
+struct DemoArguments {
+    /// print this help and exit
+    help: bool,
+    /// blue-mahoe or association
+    #[options(default = "blue-mahoe")]
+    deployment: String,
+    /// how many daemons
+    #[options(default = "3")]
+    daemons: usize,
+    /// how long to run, such as 60s; without it, until interrupted
+    #[options(no_short, long = "for")]
+    duration: Option<String>,
+}
+
+#[derive(Debug, Options)]
+struct PlatformArguments {
+    /// print this help and exit
+    help: bool,
+    /// where to listen
+    #[options(default = "127.0.0.1:0")]
+    listen: String,
+}
+
+#[derive(Debug, Options)]
+struct InstanceArguments {
+    /// print this help and exit
+    help: bool,
+    /// the name in the table
+    name: String,
+    /// where to listen
+    #[options(no_short, default = "127.0.0.1:0")]
+    listen: String,
+    /// connections accepted
+    #[options(no_short, default = "70")]
+    connections: usize,
+    /// statements executed at once
+    #[options(no_short, default = "5")]
+    slots: usize,
+    /// milliseconds until a connection is accepted
+    #[options(no_short, default = "0")]
+    connect_ms: u64,
+    /// milliseconds until a replica receives an entry
+    #[options(no_short, default = "0")]
+    ship_lag_ms: u64,
+    /// milliseconds until a replica applies an entry
+    #[options(no_short, default = "0")]
+    apply_lag_ms: u64,
+    /// microseconds that every statement takes at the least
+    #[options(no_short, default = "0")]
+    statement_us: u64,
+    /// the primary to follow; without it, begin as primary
+    #[options(no_short)]
+    follow: Option<SocketAddr>,
+    /// where to keep files
+    #[options(no_short)]
+    dir: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let args = Arguments::parse_args_default_or_exit();
+    let result = match args.command {
+        Some(Subcommand::Demo(args)) => demo(&args),
+        Some(Subcommand::Platform(args)) => run_platform(&args),
+        Some(Subcommand::Instance(args)) => run_instance(&args),
+        None => {
+            eprintln!("{}", Arguments::usage());
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("lab: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print_line(value: &serde_json::Value) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{value}")?;
+    out.flush()
+}
+
+fn run_platform(args: &PlatformArguments) -> io::Result<()> {
+    let address = args.listen.parse().map_err(io::Error::other)?;
+    let (listener, address) = platform::listen(address)?;
+    print_line(&serde_json::json!({ "address": address }))?;
+    let system = ntex::rt::System::new("platform", ntex::rt::DefaultRuntime);
+    system.block_on(async move { platform::serve(listener, Platform::new())?.await })
+}
+
+fn run_instance(args: &InstanceArguments) -> io::Result<()> {
+    let cfg = InstanceConfig {
+        name: args.name.clone(),
+        listen: args.listen.parse().map_err(io::Error::other)?,
+        members: 3,
+        follow: args.follow,
+        connections: args.connections,
+        slots: args.slots,
+        connect_delay: Duration::from_millis(args.connect_ms),
+        ship_lag: Duration::from_millis(args.ship_lag_ms),
+        apply_lag: Duration::from_millis(args.apply_lag_ms),
+        statement_time: Duration::from_micros(args.statement_us),
+        dir: args.dir.clone(),
+    };
+    let (_instance, address) = instance::start(cfg)?;
+    print_line(&serde_json::json!({ "address": address }))?;
+    loop {
+        std::thread::park();
+    }
+}
+
+/// Builds the daemon beside this program, which an alias of `cargo run` does not.
+fn build_daemon() -> io::Result<()> {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--release", "--package", "persimmond"]);
+    if command.status()?.success() {
+        return Ok(());
+    }
+    Err(io::Error::other("persimmond does not build"))
+}
+
+fn demo(args: &DemoArguments) -> io::Result<()> {
+    build_daemon()?;
+    let deployment: Deployment = args.deployment.parse().map_err(io::Error::other)?;
+    let config = ClusterConfig::new(deployment).with_services(3).with_daemons(args.daemons);
+    let cluster = Cluster::start(config)?;
+    let callers: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.callers).collect();
+    let admin: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.admin).collect();
+    print_line(&serde_json::json!({
+        "callers": callers,
+        "admin": admin,
+        "platform": format!("http://{}", cluster.platform),
+    }))?;
+    let seconds = args.duration.as_deref().map(|d| d.trim_end_matches('s').parse::<u64>());
+    let limit = seconds.transpose().map_err(io::Error::other)?.map(Duration::from_secs);
+    wait_for_interrupt(limit)
+}
+
+/// Waits for an interrupt, at most for `limit`, so that the processes are ended on the way out.
+fn wait_for_interrupt(limit: Option<Duration>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate =
+            tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+        let over = async {
+            match limit {
+                Some(limit) => tokio::time::sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = tokio::signal::ctrl_c() => {}
+            _ = terminate.recv() => {}
+            () = over => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/persimmon-lab/src/cluster.rs
@@ -0,0 +1,425 @@
+//! A whole deployment of separate processes on the loopback address.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use persimmon_platform::{AcceptedEdit, Edit, Host, Hosts, PutRequest, TableObject};
+use serde::Deserialize;
+
+use crate::deployment::Deployment;
+use crate::http;
+use crate::pgclient::PgClient;
+use crate::platform::{Faults, PlatformStats};
+use crate::process::{Process, daemon_program, lab_program};
+use crate::proxy::Proxy;
+
+/// How long a deployment may take until it serves.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct ClusterConfig {
+    /// Which deployment.
+    pub deployment: Deployment,
+    /// How many of its services.
+    pub services: usize,
+    /// How many daemons.
+    pub daemons: usize,
+    /// How much later than its commit a replica receives an entry.
+    pub ship_lag: Duration,
+    /// How much later than its commit a replica applies an entry.
+    pub apply_lag: Duration,
+    /// How long every statement takes at the least.
+    pub statement_time: Duration,
+    /// Lines added to each daemon's settings, without indentation at the first level.
+    pub settings: String,
+}
+
+impl ClusterConfig {
+    /// A small deployment without lag.
+    #[must_use]
+    pub fn new(deployment: Deployment) -> Self {
+        Self {
+            deployment,
+            services: 1,
+            daemons: 3,
+            ship_lag: Duration::ZERO,
+            apply_lag: Duration::ZERO,
+            statement_time: Duration::ZERO,
+            settings: String::new(),
+        }
+    }
+
+    /// The same with a number of daemons.
+    #[must_use]
+    pub fn with_daemons(mut self, daemons: usize) -> Self {
+        self.daemons = daemons;
+        self
+    }
+
+    /// The same with a number of services.
+    #[must_use]
+    pub fn with_services(mut self, services: usize) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// The same with replicas that apply entries late.
+    #[must_use]
+    pub fn with_apply_lag(mut self, lag: Duration) -> Self {
+        self.apply_lag = lag;
+        self
+    }
+
+    /// The same with replicas that receive entries late.
+    #[must_use]
+    pub fn with_ship_lag(mut self, lag: Duration) -> Self {
+        self.ship_lag = lag;
+        self
+    }
+
+    /// The same with statements that take a while.
+    #[must_use]
+    pub fn with_statement_time(mut self, time: Duration) -> Self {
+        self.statement_time = time;
+        self
+    }
+
+    /// The same with more settings for each daemon.
+    #[must_use]
+    pub fn with_settings(mut self, settings: &str) -> Self {
+        settings.clone_into(&mut self.settings);
+        self
+    }
+}
+
+/// A stand-in instance in a process of its own.
+#[derive(Debug)]
+pub struct InstanceProcess {
+    /// Its name in the table.
+    pub name: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens itself.
+    pub direct: SocketAddr,
+    /// The proxy through which everybody else reaches it.
+    pub proxy: Proxy,
+    /// The proxy through which its first followers reach it.
+    pub replication: Proxy,
+    /// The process.
+    pub process: Process,
+    args: Vec<String>,
+}
+
+/// A daemon in a process of its own.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+    /// Where its peers connect.
+    pub peers: SocketAddr,
+    /// The proxy through which its peers reach it.
+    pub peers_proxy: Proxy,
+    /// The proxy through which it reaches the platform.
+    pub platform_proxy: Proxy,
+    /// The process.
+    pub process: Process,
+}
+
+#[derive(Deserialize)]
+struct Listening {
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct DaemonListening {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    peers: SocketAddr,
+}
+
+/// A running deployment; dropping it ends every process.
+#[derive(Debug)]
+pub struct Cluster {
+    /// How it was made.
+    pub config: ClusterConfig,
+    /// Where the stand-in platform listens.
+    pub platform: SocketAddr,
+    /// The instances, three of each service in turn.
+    pub instances: Vec<InstanceProcess>,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    platform_process: Process,
+    dir: PathBuf,
+    started: usize,
+}
+
+static NEXT_DIR: AtomicU64 = AtomicU64::new(0);
+
+impl Cluster {
+    /// Starts a deployment and waits until every daemon serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started or the deployment does not serve in time.
+    pub fn start(config: ClusterConfig) -> io::Result<Self> {
+        let number = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("persimmon-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let (platform_process, listening) =
+            Process::start::<Listening>(&lab_program()?, &["platform".to_owned()])?;
+        let mut cluster = Self {
+            platform: listening.address,
+            config,
+            instances: Vec::new(),
+            daemons: Vec::new(),
+            platform_process,
+            dir,
+            started: 0,
+        };
+        cluster.start_instances()?;
+        let table = cluster.table();
+        cluster.put_table(0, &table)?;
+        for _ in 0..cluster.config.daemons {
+            cluster.start_daemon()?;
+        }
+        cluster.await_ready()?;
+        Ok(cluster)
+    }
+
+    fn start_instances(&mut self) -> io::Result<()> {
+        let services = self.config.deployment.services();
+        for service in services.iter().take(self.config.services) {
+            let mut follow: Option<SocketAddr> = None;
+            for number in 1..=3 {
+                let name = format!("{service}-{number}");
+                let args = self.instance_args(&name, follow);
+                let (process, listening) = Process::start::<Listening>(&lab_program()?, &args)?;
+                let proxy = Proxy::start(listening.address)?;
+                let replication = Proxy::start(listening.address)?;
+                follow.get_or_insert(replication.address);
+                self.instances.push(InstanceProcess {
+                    name,
+                    service: (*service).to_owned(),
+                    direct: listening.address,
+                    proxy,
+                    replication,
+                    process,
+                    args,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn instance_args(&self, name: &str, follow: Option<SocketAddr>) -> Vec<String> {
+        let deployment = self.config.deployment;
+        let millis = |d: Duration| d.as_millis().to_string();
+        let mut args = vec!["instance".to_owned()];
+        let mut add = |key: &str, value: String| args.push(format!("--{key}={value}"));
+        add("name", name.to_owned());
+        add("connections", deployment.connections().to_string());
+        add("slots", deployment.slots().to_string());
+        add("connect-ms", millis(deployment.connect_delay()));
+        add("ship-lag-ms", millis(self.config.ship_lag));
+        add("apply-lag-ms", millis(self.config.apply_lag));
+        add("statement-us", self.config.statement_time.as_micros().to_string());
+        add("dir", self.dir.join(name).display().to_string());
+        if let Some(follow) = follow {
+            add("follow", follow.to_string());
+        }
+        args
+    }
+
+    /// The deployment's table.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let instances: Vec<_> = self
+            .instances
+            .iter()
+            .map(|i| (i.service.clone(), i.name.clone(), i.proxy.address))
+            .collect();
+        self.config.deployment.table(self.config.daemons.max(3), &instances)
+    }
+
+    /// Writes a table over a version of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not accept it.
+    pub fn put_table(&self, expect: u64, text: &str) -> io::Result<()> {
+        let edit = AcceptedEdit {
+            id: Arc::from(format!("{expect}-{}", text.len())),
+            base: expect,
+            author: Arc::from("lab"),
+            note: Arc::from(""),
+            at_ms: 0,
+            changes: Vec::new(),
+        };
+        let object = TableObject::default().with_edit(Edit { text: Arc::from(text), edit });
+        let value = Arc::from(serde_json::to_string(&object)?);
+        http::put(self.platform, "/v1/objects/table", &PutRequest { expect, value })
+    }
+
+    /// Starts one more daemon and lists it at the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be started.
+    pub fn start_daemon(&mut self) -> io::Result<usize> {
+        self.started += 1;
+        let name = format!("entry-{}", self.started);
+        let place = self.config.deployment.places()[(self.started - 1) % 3];
+        let platform_proxy = Proxy::start(self.platform)?;
+        let settings = format!(
+            "name: {name}\nplace: {place}\nlisten:\n  callers: 127.0.0.1:0\n  admin: 127.0.0.1:0\n  \
+             peers: 127.0.0.1:0\nplatform:\n  address: http://{}\nlog:\n  level: {}\n{}\n",
+            platform_proxy.address,
+            std::env::var("PERSIMMON_LOG").unwrap_or_else(|_| "error".to_owned()),
+            self.config.settings,
+        );
+        let path = self.dir.join(format!("{name}.yaml"));
+        fs::write(&path, settings)?;
+        let args = ["--config".to_owned(), path.display().to_string()];
+        let (process, listening) = Process::start::<DaemonListening>(&daemon_program()?, &args)?;
+        let peers_proxy = Proxy::start(listening.peers)?;
+        self.daemons.push(DaemonProcess {
+            name,
+            callers: listening.callers,
+            admin: listening.admin,
+            peers: listening.peers,
+            peers_proxy,
+            platform_proxy,
+            process,
+        });
+        self.list_hosts()?;
+        Ok(self.daemons.len() - 1)
+    }
+
+    /// Lists the daemons at the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub fn list_hosts(&self) -> io::Result<()> {
+        let hosts = self.daemons.iter().map(|d| Host {
+            name: Arc::from(d.name.as_str()),
+            peers: d.peers,
+            admin: d.admin,
+            leaving: false,
+        });
+        http::put(self.platform, "/lab/hosts", &Hosts { hosts: hosts.collect() })
+    }
+
+    /// Waits until every daemon is ready and knows a primary of every service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that does not happen in time.
+    pub fn await_ready(&self) -> io::Result<()> {
+        let services = self.config.services;
+        wait_until(START_LIMIT, "every daemon serves", || {
+            self.daemons.iter().all(|daemon| {
+                let Ok(status) = http::get(daemon.admin, "/status") else {
+                    return false;
+                };
+                let groups = status["groups"].as_object();
+                let known =
+                    groups.map_or(0, |g| g.values().filter(|g| g["primary"].is_string()).count());
+                status["ready"] == true && known == services
+            })
+        })
+    }
+
+    /// Makes the platform misbehave.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub fn set_faults(&self, faults: Faults) -> io::Result<()> {
+        http::put(self.platform, "/lab/faults", &faults)
+    }
+
+    /// What the platform has counted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform does not answer.
+    pub fn platform_stats(&self) -> io::Result<PlatformStats> {
+        Ok(serde_json::from_value(http::get(self.platform, "/lab/stats")?)?)
+    }
+
+    /// The index of the instance that a daemon takes for the primary of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon does not answer or knows none.
+    pub fn primary(&self, daemon: usize, service: &str) -> io::Result<(u64, usize)> {
+        let status = http::get(self.daemons[daemon].admin, "/status")?;
+        let group = &status["groups"][service];
+        let term = group["term"].as_u64().unwrap_or_default();
+        let name = group["primary"].as_str().unwrap_or_default();
+        let index = self.instances.iter().position(|i| i.name == name);
+        index.map(|i| (term, i)).ok_or_else(|| io::Error::other("no primary is known"))
+    }
+
+    /// Starts an instance again after its process has ended; it keeps its files and its place.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be started.
+    pub fn restart_instance(&mut self, index: usize) -> io::Result<()> {
+        let instance = &mut self.instances[index];
+        instance.process.kill();
+        let mut args = instance.args.clone();
+        args.push(format!("--listen={}", instance.direct));
+        let (process, _) = Process::start::<Listening>(&lab_program()?, &args)?;
+        instance.process = process;
+        Ok(())
+    }
+
+    /// A blocking connection straight to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance does not answer.
+    pub fn direct(&self, index: usize) -> io::Result<PgClient> {
+        let parameters = [("user", "check")];
+        PgClient::connect(self.instances[index].direct, &parameters, Duration::from_secs(5))
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        self.instances.clear();
+        self.platform_process.kill();
+        // Files that stay behind are in the folder for temporary files.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Returns an error that names the condition if it does not hold within `limit`.
+pub fn wait_until(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) -> io::Result<()> {
+    let began = Instant::now();
+    while began.elapsed() < limit {
+        if holds() {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    Err(io::Error::other(format!("not within {limit:?}: {what}")))
+}
--- /dev/null
+++ b/crates/persimmon-lab/src/instance/session.rs
@@ -0,0 +1,639 @@
+//! Serves one connection to a stand-in instance.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use persimmon_pg::{
+    Message, Opening, authentication_ok, backend_key, command_complete, data_row, error_response,
+    frame_length, no_data, opening, parameter_description, parameter_status, ready,
+    row_description, sqlstate, startup_length, tag,
+};
+use rusqlite::Connection;
+
+use crate::instance::engine::{self, Begun, CommitError, Outcome, TEXT};
+use crate::instance::functions;
+use crate::instance::sql::{first_word, split, translate};
+use crate::instance::state::{Instance, Param, Statement};
+
+/// How often an idle transaction looks whether its term has ended.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// An error to the caller: SQLSTATE and text.
+type Failure = (String, String);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tx {
+    Idle,
+    Open,
+    Failed,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Prepared {
+    sql: String,
+    types: Vec<u32>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Portal {
+    sql: String,
+    params: Vec<Param>,
+    binary: bool,
+}
+
+struct Session {
+    instance: Arc<Instance>,
+    stream: TcpStream,
+    buf: Vec<u8>,
+    out: BytesMut,
+    db: Option<(u64, Connection)>,
+    term: Option<u64>,
+    tx: Tx,
+    begun: Begun,
+    writes: Vec<Statement>,
+    committed: Option<u64>,
+    prepared: HashMap<String, Prepared>,
+    portals: HashMap<String, Portal>,
+    skipping: bool,
+    pid: i32,
+}
+
+/// Serves a connection until it ends.
+pub(crate) fn serve(instance: &Arc<Instance>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_read_timeout(Some(IDLE_CHECK));
+    std::thread::sleep(instance.cfg.connect_delay);
+    let pid = {
+        let mut state = instance.lock();
+        state.connections += 1;
+        let now = state.connections as u64;
+        state.stats.max_connections = state.stats.max_connections.max(now);
+        stream.peer_addr().map_or(0, |a| i32::from(a.port()))
+    };
+    let mut session = Session {
+        instance: Arc::clone(instance),
+        stream,
+        buf: Vec::new(),
+        out: BytesMut::new(),
+        db: None,
+        term: None,
+        tx: Tx::Idle,
+        begun: Begun::default(),
+        writes: Vec::new(),
+        committed: None,
+        prepared: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+        pid,
+    };
+    // A caller that breaks the connection ends the session; there is nobody left to tell.
+    let _ = session.run();
+    instance.lock().connections -= 1;
+}
+
+impl Session {
+    fn run(&mut self) -> io::Result<()> {
+        if !self.open()? {
+            return self.stream.write_all(&std::mem::take(&mut self.out));
+        }
+        self.flush()?;
+        loop {
+            let frame = self.frame()?;
+            match Message::read(&frame) {
+                Ok(Message::Terminate) => return Ok(()),
+                Ok(message) => self.handle(message, &frame)?,
+                Err(err) => {
+                    self.error(sqlstate::PROTOCOL_VIOLATION, &err.to_string());
+                    self.flush()?;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    fn open(&mut self) -> io::Result<bool> {
+        loop {
+            let first = self.first()?;
+            match opening(&first).map_err(io::Error::other)? {
+                Opening::Encryption => self.stream.write_all(b"N")?,
+                Opening::Cancel { pid, .. } => {
+                    self.instance.lock().cancelled.push(pid);
+                    return Ok(false);
+                }
+                Opening::Session { parameters, .. } => {
+                    let cap = self.instance.cfg.connections;
+                    let mut state = self.instance.lock();
+                    if state.connections > cap {
+                        state.stats.refused_connections += 1;
+                        drop(state);
+                        self.error(sqlstate::TOO_MANY_CONNECTIONS, "too many connections");
+                        return Ok(false);
+                    }
+                    let term = parameters.get("persimmon.term").and_then(|t| t.parse().ok());
+                    let is_fit = state.may_commit() && Some(state.term) == term;
+                    if term.is_some() && !is_fit {
+                        state.stats.term_refusals += 1;
+                        let sealed = state.sealed;
+                        drop(state);
+                        self.error(sqlstate::TERM_REFUSED, &format!("term {sealed}"));
+                        return Ok(false);
+                    }
+                    drop(state);
+                    self.term = term;
+                    break;
+                }
+            }
+        }
+        self.out.extend_from_slice(&authentication_ok());
+        let incarnation = self.instance.incarnation.to_string();
+        for (name, value) in [
+            ("server_version", "16.0 (persimmon stand-in)"),
+            ("client_encoding", "UTF8"),
+            ("persimmon.incarnation", incarnation.as_str()),
+        ] {
+            self.out.extend_from_slice(&parameter_status(name, value));
+        }
+        self.out.extend_from_slice(&backend_key(self.pid, 0));
+        self.out.extend_from_slice(&ready(b'I'));
+        Ok(true)
+    }
+
+    fn read_more(&mut self) -> io::Result<()> {
+        let mut chunk = [0_u8; 16 << 10];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(read) => {
+                    self.buf.extend_from_slice(&chunk[..read]);
+                    return Ok(());
+                }
+                Err(err)
+                    if matches!(
+                        err.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) =>
+                {
+                    self.end_stale_transaction();
+                }
+                Err(err) => return Err(err),
+            }
+        }
+    }
+
+    /// Rolls back an idle transaction of an ended term, which would hold the engine's lock.
+    fn end_stale_transaction(&mut self) {
+        if self.tx != Tx::Open || self.writes.is_empty() && self.term.is_none() {
+            return;
+        }
+        let state = self.instance.lock();
+        let is_stale = state.term != self.begun.term || !state.may_commit();
+        drop(state);
+        if is_stale && self.begun.term != 0 {
+            self.rollback();
+            self.tx = Tx::Failed;
+        }
+    }
+
+    fn first(&mut self) -> io::Result<Vec<u8>> {
+        loop {
+            if let Some(length) = startup_length(&self.buf).map_err(io::Error::other)? {
+                return Ok(self.buf.drain(..length).collect());
+            }
+            self.read_more()?;
+        }
+    }
+
+    fn frame(&mut self) -> io::Result<Vec<u8>> {
+        loop {
+            if let Some(length) = frame_length(&self.buf).map_err(io::Error::other)? {
+                return Ok(self.buf.drain(..length).collect());
+            }
+            self.flush()?;
+            self.read_more()?;
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        if self.out.is_empty() {
+            return Ok(());
+        }
+        self.stream.write_all(&std::mem::take(&mut self.out))
+    }
+
+    fn error(&mut self, code: &str, message: &str) {
+        self.out.extend_from_slice(&error_response("ERROR", code, message, ""));
+    }
+
+    fn ready(&mut self) {
+        let status = match self.tx {
+            Tx::Idle => b'I',
+            Tx::Open => b'T',
+            Tx::Failed => b'E',
+        };
+        self.out.extend_from_slice(&ready(status));
+    }
+
+    fn handle(&mut self, message: Message<'_>, frame: &[u8]) -> io::Result<()> {
+        if let Message::Query(sql) = message {
+            self.simple(sql);
+            self.ready();
+            return self.flush();
+        }
+        if message == Message::Sync {
+            self.skipping = false;
+            self.ready();
+            return Ok(());
+        }
+        if self.skipping {
+            return Ok(());
+        }
+        if let Err((code, text)) = self.extended(message, frame) {
+            self.error(&code, &text);
+            self.fail();
+            self.skipping = true;
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self) {
+        if self.tx == Tx::Open {
+            self.rollback();
+            self.tx = Tx::Failed;
+        }
+    }
+
+    fn rollback(&mut self) {
+        if let Some((_, db)) = &self.db
+            && !db.is_autocommit()
+        {
+            let _ = db.execute_batch("ROLLBACK");
+        }
+        self.writes.clear();
+    }
+
+    fn simple(&mut self, sql: &str) {
+        let parts = split(sql);
+        if parts.is_empty() {
+            self.out.extend_from_slice(&tag(b'I'));
+            return;
+        }
+        for part in parts {
+            match self.execute(part, &[]) {
+                Ok((outcome, text)) => {
+                    if !outcome.columns.is_empty() {
+                        let columns = outcome.columns.iter().map(|(n, t)| (n.clone(), *t, false));
+                        let columns: Vec<_> = columns.collect();
+                        self.out.extend_from_slice(&row_description(&columns));
+                    }
+                    self.rows(&outcome, false);
+                    self.out.extend_from_slice(&command_complete(&text));
+                }
+                Err((code, text)) => {
+                    self.error(&code, &text);
+                    self.fail();
+                    return;
+                }
+            }
+        }
+    }
+
+    fn rows(&mut self, outcome: &Outcome, binary: bool) {
+        for row in &outcome.rows {
+            let values = row.iter().zip(&outcome.columns);
+            let values: Vec<_> = values.map(|(v, (_, t))| engine::encode(v, *t, binary)).collect();
+            self.out.extend_from_slice(&data_row(&values));
+        }
+    }
+
+    fn extended(&mut self, message: Message<'_>, frame: &[u8]) -> Result<(), Failure> {
+        match message {
+            Message::Parse { name, sql } => {
+                let prepared = self.prepare(sql)?;
+                self.prepared.insert(name.to_owned(), prepared);
+                self.out.extend_from_slice(&tag(b'1'));
+            }
+            Message::Bind { portal, statement } => {
+                let prepared = self.prepared.get(statement).cloned();
+                let prepared = prepared.ok_or_else(|| unknown(statement))?;
+                let bound = bind(&prepared, frame).ok_or_else(|| malformed("Bind"))?;
+                self.portals.insert(portal.to_owned(), bound);
+                self.out.extend_from_slice(&tag(b'2'));
+            }
+            Message::DescribeStatement(name) => {
+                let prepared = self.prepared.get(name).cloned().ok_or_else(|| unknown(name))?;
+                self.out.extend_from_slice(&parameter_description(&prepared.types));
+                self.describe(&prepared.sql, false)?;
+            }
+            Message::DescribePortal(name) => {
+                let portal = self.portals.get(name).cloned().ok_or_else(|| unknown(name))?;
+                self.describe(&portal.sql, portal.binary)?;
+            }
+            Message::Execute => {
+                let name = frame[5..].split(|b| *b == 0).next().unwrap_or_default();
+                let name = String::from_utf8_lossy(name).into_owned();
+                let portal = self.portals.get(&name).cloned().ok_or_else(|| unknown(&name))?;
+                let (outcome, text) = self.execute(&portal.sql, &portal.params)?;
+                self.rows(&outcome, portal.binary);
+                self.out.extend_from_slice(&command_complete(&text));
+            }
+            Message::CloseStatement(name) => {
+                self.prepared.remove(name);
+                self.out.extend_from_slice(&tag(b'3'));
+            }
+            Message::ClosePortal(name) => {
+                self.portals.remove(name);
+                self.out.extend_from_slice(&tag(b'3'));
+            }
+            Message::Flush => {}
+            other => return Err(malformed(&format!("{other:?}"))),
+        }
+        Ok(())
+    }
+
+    fn is_engine_statement(sql: &str) -> bool {
+        let word = first_word(sql);
+        let control = ["begin", "start", "commit", "end", "rollback", "abort", "set"];
+        functions::call(sql).is_none() && !control.contains(&word.as_str()) && !word.is_empty()
+    }
+
+    fn prepare(&mut self, sql: &str) -> Result<Prepared, Failure> {
+        if !Self::is_engine_statement(sql) {
+            return Ok(Prepared { sql: sql.to_owned(), types: Vec::new() });
+        }
+        let db = self.database().map_err(engine_failure)?;
+        let (count, _) = engine::describe(db, sql).map_err(engine_failure)?;
+        let mut types = vec![TEXT; count];
+        for (number, cast) in translate(sql).1 {
+            if cast.starts_with("int") || cast == "bigint" {
+                types[number - 1] = engine::INT8;
+            }
+        }
+        Ok(Prepared { sql: sql.to_owned(), types })
+    }
+
+    fn describe(&mut self, sql: &str, binary: bool) -> Result<(), Failure> {
+        if !Self::is_engine_statement(sql) {
+            self.out.extend_from_slice(&no_data());
+            return Ok(());
+        }
+        let db = self.database().map_err(engine_failure)?;
+        let (_, columns) = engine::describe(db, sql).map_err(engine_failure)?;
+        if columns.is_empty() {
+            self.out.extend_from_slice(&no_data());
+            return Ok(());
+        }
+        let columns: Vec<_> = columns.into_iter().map(|(n, t)| (n, t, binary)).collect();
+        self.out.extend_from_slice(&row_description(&columns));
+        Ok(())
+    }
+
+    fn database(&mut self) -> rusqlite::Result<&Connection> {
+        let generation = self.instance.lock().generation;
+        if self.db.as_ref().is_none_or(|(g, _)| *g != generation) {
+            self.db = Some((generation, engine::open(&self.instance, generation)?));
+        }
+        match &self.db {
+            Some((_, db)) => Ok(db),
+            None => Err(rusqlite::Error::InvalidQuery),
+        }
+    }
+
+    /// Refuses a statement whose term is over, before execution.
+    fn check_term(&mut self) -> Result<(), Failure> {
+        let mut state = self.instance.lock();
+        let Some(term) = self.term else {
+            return Ok(());
+        };
+        if state.may_commit() && state.term == term {
+            return Ok(());
+        }
+        state.stats.term_refusals += 1;
+        Err(term_failure(state.sealed))
+    }
+
+    fn execute(&mut self, sql: &str, params: &[Param]) -> Result<(Outcome, String), Failure> {
+        if let Some((name, arguments)) = functions::call(sql) {
+            let row = functions::run(
+                &self.instance,
+                &name,
+                &arguments,
+                &mut self.committed,
+                &mut self.term,
+            )
+            .map_err(|(code, text)| (code.to_owned(), text))?;
+            let columns = (0..row.len()).map(|i| (format!("c{i}"), TEXT)).collect();
+            let values = row.into_iter().map(rusqlite::types::Value::Text).collect();
+            let outcome = Outcome { columns, rows: vec![values], affected: 1 };
+            return Ok((outcome, "SELECT 1".to_owned()));
+        }
+        let word = first_word(sql);
+        if self.tx == Tx::Failed && !["rollback", "abort", "commit", "end"].contains(&word.as_str())
+        {
+            let text = "current transaction is aborted";
+            return Err((sqlstate::TRANSACTION_ABORTED.to_owned(), text.to_owned()));
+        }
+        self.check_term()?;
+        match word.as_str() {
+            "begin" | "start" => self.begin(sql),
+            "commit" | "end" => self.commit(),
+            "rollback" | "abort" => {
+                self.rollback();
+                self.tx = Tx::Idle;
+                Ok((Outcome::default(), "ROLLBACK".to_owned()))
+            }
+            "set" => Ok((Outcome::default(), "SET".to_owned())),
+            "" => Ok((Outcome::default(), String::new())),
+            _ => self.statement(&word, sql, params),
+        }
+    }
+
+    fn begin(&mut self, sql: &str) -> Result<(Outcome, String), Failure> {
+        let read_only = sql.to_ascii_lowercase().contains("read only");
+        let is_primary = self.instance.lock().may_commit();
+        if is_primary && !read_only {
+            self.begun = engine::begin(&self.instance).map_err(commit_failure)?;
+        }
+        let how = if is_primary && !read_only { "BEGIN IMMEDIATE" } else { "BEGIN" };
+        self.database().and_then(|db| db.execute_batch(how)).map_err(engine_failure)?;
+        self.tx = Tx::Open;
+        Ok((Outcome::default(), "BEGIN".to_owned()))
+    }
+
+    fn commit(&mut self) -> Result<(Outcome, String), Failure> {
+        if self.tx != Tx::Open {
+            self.rollback();
+            self.tx = Tx::Idle;
+            return Ok((Outcome::default(), "ROLLBACK".to_owned()));
+        }
+        self.tx = Tx::Idle;
+        self.commit_engine()?;
+        Ok((Outcome::default(), "COMMIT".to_owned()))
+    }
+
+    fn commit_engine(&mut self) -> Result<(), Failure> {
+        let writes = std::mem::take(&mut self.writes);
+        let Some((_, db)) = &self.db else {
+            return Ok(());
+        };
+        let done = engine::commit(&self.instance, db, self.begun, writes);
+        match done {
+            Ok(Some(lsn)) => self.committed = Some(lsn),
+            Ok(None) => {}
+            Err(err) => return Err(commit_failure(err)),
+        }
+        Ok(())
+    }
+
+    fn statement(
+        &mut self,
+        word: &str,
+        sql: &str,
+        params: &[Param],
+    ) -> Result<(Outcome, String), Failure> {
+        let reads = word == "select" || word == "values" || word == "explain";
+        self.take_slot(reads);
+        let result = self.run_statement(reads, sql, params);
+        self.instance.lock().slots -= 1;
+        self.instance.changed.notify_all();
+        let outcome = result?;
+        let text = match word {
+            "insert" => format!("INSERT 0 {}", outcome.affected),
+            "select" | "update" | "delete" => {
+                format!("{} {}", word.to_ascii_uppercase(), outcome.affected)
+            }
+            other => other.to_ascii_uppercase(),
+        };
+        Ok((outcome, text))
+    }
+
+    fn take_slot(&mut self, reads: bool) {
+        let mut state = self.instance.lock();
+        while state.slots >= self.instance.cfg.slots {
+            let deadline = std::time::Instant::now() + Duration::from_secs(1);
+            state = self.instance.wait(state, deadline).0;
+        }
+        state.slots += 1;
+        let now = state.slots as u64;
+        let is_primary = state.primary;
+        let stats = &mut state.stats;
+        stats.max_slots = stats.max_slots.max(now);
+        stats.statements += 1;
+        match (reads, is_primary) {
+            (true, true) => stats.primary_reads += 1,
+            (true, false) => stats.replica_reads += 1,
+            _ => {}
+        }
+    }
+
+    fn run_statement(
+        &mut self,
+        reads: bool,
+        sql: &str,
+        params: &[Param],
+    ) -> Result<Outcome, Failure> {
+        if !self.instance.cfg.statement_time.is_zero() {
+            std::thread::sleep(self.instance.cfg.statement_time);
+        }
+        if reads {
+            return self
+                .database()
+                .and_then(|db| engine::run(db, sql, params))
+                .map_err(engine_failure);
+        }
+        if !self.instance.lock().primary {
+            let text = "cannot execute a write on a read-only instance";
+            return Err((sqlstate::READ_ONLY.to_owned(), text.to_owned()));
+        }
+        let alone = self.tx == Tx::Idle;
+        if alone {
+            self.begun = engine::begin(&self.instance).map_err(commit_failure)?;
+            let db = self.database().map_err(engine_failure)?;
+            db.execute_batch("BEGIN IMMEDIATE").map_err(engine_failure)?;
+        }
+        let outcome = self.database().and_then(|db| engine::run(db, sql, params));
+        if outcome.is_ok() {
+            self.writes.push(Statement { sql: sql.to_owned(), params: params.to_vec() });
+        }
+        if alone {
+            match &outcome {
+                Ok(_) => self.commit_engine()?,
+                Err(_) => self.rollback(),
+            }
+        }
+        outcome.map_err(engine_failure)
+    }
+}
+
+fn unknown(name: &str) -> Failure {
+    (sqlstate::UNKNOWN_STATEMENT.to_owned(), format!("`{name}` does not exist"))
+}
+
+fn malformed(what: &str) -> Failure {
+    (sqlstate::PROTOCOL_VIOLATION.to_owned(), format!("malformed {what}"))
+}
+
+fn term_failure(sealed: u64) -> Failure {
+    (sqlstate::TERM_REFUSED.to_owned(), format!("term {sealed}"))
+}
+
+fn commit_failure(err: CommitError) -> Failure {
+    match err {
+        CommitError::Term(sealed) => term_failure(sealed),
+        CommitError::Engine(err) => engine_failure(err),
+    }
+}
+
+fn engine_failure(err: rusqlite::Error) -> Failure {
+    let code = match err.sqlite_error_code() {
+        Some(rusqlite::ErrorCode::ConstraintViolation) => "23505",
+        Some(rusqlite::ErrorCode::DatabaseBusy) => "40001",
+        _ => "42601",
+    };
+    (code.to_owned(), err.to_string())
+}
+
+/// Takes a big-endian number off the front of `rest`.
+fn number(rest: &mut &[u8], bytes: usize) -> Option<i64> {
+    let (head, tail) = rest.split_at_checked(bytes)?;
+    *rest = tail;
+    Some(head.iter().fold(0_i64, |n, b| n << 8 | i64::from(*b)))
+}
+
+/// Reads the parameters of a `Bind` message.
+fn bind(prepared: &Prepared, frame: &[u8]) -> Option<Portal> {
+    let mut rest = frame.get(5..)?;
+    for _ in 0..2 {
+        let end = rest.iter().position(|b| *b == 0)?;
+        rest = &rest[end + 1..];
+    }
+    let formats = number(&mut rest, 2)?;
+    let mut binary = Vec::new();
+    for _ in 0..formats {
+        binary.push(number(&mut rest, 2)? == 1);
+    }
+    let count = number(&mut rest, 2)?;
+    let mut params = Vec::new();
+    for index in 0..usize::try_from(count).ok()? {
+        let length = number(&mut rest, 4)?;
+        if length == 0xffff_ffff {
+            params.push(Param::Null);
+            continue;
+        }
+        let (head, tail) = rest.split_at_checked(usize::try_from(length).ok()?)?;
+        rest = tail;
+        let is_binary = binary.get(index).or(binary.first()).copied().unwrap_or(false);
+        let is_int = prepared.types.get(index) == Some(&engine::INT8);
+        params.push(match (is_int, is_binary) {
+            (true, true) => Param::Int(head.iter().fold(0, |n, b| n << 8 | i64::from(*b))),
+            (true, false) => Param::Int(std::str::from_utf8(head).ok()?.trim().parse().ok()?),
+            _ => Param::Text(String::from_utf8_lossy(head).into_owned()),
+        });
+    }
+    let results = number(&mut rest, 2)?;
+    let is_binary = results > 0 && number(&mut rest, 2)? == 1;
+    Some(Portal { sql: prepared.sql.clone(), params, binary: is_binary })
+}
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -1,1 +1,17 @@
-//! x
+//! Stand-ins of the platform and of database groups, a fault-injecting proxy and the load tool.
+//!
+//! Nothing here ships. Invariant: a stand-in counts and enforces by itself, so that a check never
+//! rests on the word of the daemon that it checks.
+
+pub mod cluster;
+pub mod deployment;
+pub mod http;
+pub mod instance;
+mod pgclient;
+pub mod platform;
+pub mod process;
+pub mod proxy;
+
+pub use cluster::{Cluster, ClusterConfig, wait_until};
+pub use deployment::Deployment;
+pub use pgclient::{PgClient, QueryResult};
--- a/crates/persimmon-member/src/plugin.rs
+++ b/crates/persimmon-member/src/plugin.rs
@@ -12,10 +12,7 @@
 use crate::watch::{decide_cut_off, decide_watch};
 
 #[distributed_slice(PLUGINS)]
-static ENTRY: PluginEntry = PluginEntry {
-    order: 10,
-    build: || Box::new(Membership::new()),
-};
+static ENTRY: PluginEntry = PluginEntry { order: 10, build: || Box::new(Membership::new()) };
 
 /// How often a daemon sends heartbeats, each time to a few of its peers.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -64,16 +61,12 @@
             }
             self.listed.push(host.daemon.clone());
             let now = cx.now;
-            let peer = cx
-                .shared
-                .peers
-                .entry(host.daemon.clone())
-                .or_insert_with(|| Peer {
-                    address: host.address,
-                    alive: true,
-                    leaving: false,
-                    heard: now,
-                });
+            let peer = cx.shared.peers.entry(host.daemon.clone()).or_insert_with(|| Peer {
+                address: host.address,
+                alive: true,
+                leaving: false,
+                heard: now,
+            });
             peer.leaving = host.leaving;
         }
         let now = cx.now;
@@ -97,13 +90,7 @@
     }
 
     fn hear(&mut self, cx: &mut Context<'_>, from: &DaemonId, message: &PeerMessage) {
-        if let PeerMessage::Heartbeat {
-            address,
-            store_age_ms,
-            wants_reply,
-            ..
-        } = message
-        {
+        if let PeerMessage::Heartbeat { address, store_age_ms, wants_reply, .. } = message {
             let heard = cx.now - Duration::from_millis(*store_age_ms);
             cx.shared.store_heard = cx.shared.store_heard.max(heard);
             let now = cx.now;
@@ -126,10 +113,7 @@
         peer.heard = cx.now;
         if !peer.alive {
             peer.alive = true;
-            cx.record(TimelineKind::PeerChanged {
-                peer: from.clone(),
-                alive: true,
-            });
+            cx.record(TimelineKind::PeerChanged { peer: from.clone(), alive: true });
         }
         if let PeerMessage::Unreachable { peer } = message {
             self.testify(cx, from.clone(), peer);
@@ -158,15 +142,8 @@
         let now = cx.now;
         let evidence = self.evidence.entry(peer.clone()).or_default();
         evidence.observers.insert(observer, now);
-        evidence
-            .observers
-            .retain(|_, at| now.since(*at) < EVIDENCE_LIFETIME);
-        let others_alive = cx
-            .shared
-            .peers
-            .iter()
-            .filter(|(id, p)| *id != peer && p.alive)
-            .count();
+        evidence.observers.retain(|_, at| now.since(*at) < EVIDENCE_LIFETIME);
+        let others_alive = cx.shared.peers.iter().filter(|(id, p)| *id != peer && p.alive).count();
         let needed = OBSERVERS.min(others_alive + 1);
         if evidence.observers.len() < needed {
             return;
@@ -178,10 +155,7 @@
             return;
         }
         state.alive = false;
-        cx.record(TimelineKind::PeerChanged {
-            peer: peer.clone(),
-            alive: false,
-        });
+        cx.record(TimelineKind::PeerChanged { peer: peer.clone(), alive: false });
     }
 }
 
--- a/crates/persimmon-pg/src/lib.rs
+++ b/crates/persimmon-pg/src/lib.rs
@@ -1,1 +1,23 @@
-//! x
+//! Frames and messages of the PostgreSQL protocol, version 3.
+//!
+//! Invariants:
+//!
+//! - No input makes a function of this crate panic; malformed input is a [`FrameError`].
+//! - Result rows pass through as bytes and are decoded only for this project's own queries.
+
+mod encode;
+mod frame;
+mod reply;
+mod request;
+pub mod sqlstate;
+mod startup;
+
+pub use encode::{
+    authentication_ok, backend_key, bind, cancel_request, command_complete, data_row,
+    error_response, execute, no_data, parameter_description, parameter_status, parse, query, ready,
+    row_description, startup, sync, tag,
+};
+pub use frame::{FrameError, MAX_FRAME_BYTES, frame_length, startup_length};
+pub use reply::{ErrorFields, Rows, command_tag, error_fields, text_row};
+pub use request::{Message, rename};
+pub use startup::{Opening, opening};
--- a/crates/persimmon-platform/src/lib.rs
+++ b/crates/persimmon-platform/src/lib.rs
@@ -1,1 +1,14 @@
-//! x
+//! Wire types and client of the platform's object API.
+//!
+//! Invariants:
+//!
+//! - [`StoreError::Unavailable`] of a write means that the write may have taken effect.
+//! - A conditional write takes effect only if the object has the expected version.
+
+mod client;
+mod table;
+mod wire;
+
+pub use client::{Client, StoreError};
+pub use table::{AcceptedEdit, Edit, TableObject};
+pub use wire::{Changes, Host, Hosts, Object, PutReply, PutRequest};
--- a/crates/persimmon-request/src/classify.rs
+++ b/crates/persimmon-request/src/classify.rs
@@ -105,22 +105,11 @@
 ];
 
 /// Words that make a `SELECT` more than a read.
-const WRITING_WORDS: &[&str] = &[
-    "into", "update", "share", "insert", "delete", "merge", "call",
-];
+const WRITING_WORDS: &[&str] = &["into", "update", "share", "insert", "delete", "merge", "call"];
 
 /// Words that begin a statement which changes the state of its connection.
-const PINNING_WORDS: &[&str] = &[
-    "set",
-    "reset",
-    "listen",
-    "unlisten",
-    "prepare",
-    "deallocate",
-    "discard",
-    "load",
-    "declare",
-];
+const PINNING_WORDS: &[&str] =
+    &["set", "reset", "listen", "unlisten", "prepare", "deallocate", "discard", "load", "declare"];
 
 /// Classifies the text of one message.
 #[must_use]
@@ -133,9 +122,9 @@
     };
     match first.as_str() {
         "select" => classify_select(scanner),
-        "begin" | "start" => alone(scanner, |rest| Class::Begin {
-            read_only: says_read_only(rest),
-        }),
+        "begin" | "start" => {
+            alone(scanner, |rest| Class::Begin { read_only: says_read_only(rest) })
+        }
         "commit" | "end" => alone(scanner, |_| Class::Commit),
         "rollback" | "abort" => classify_rollback(scanner),
         "copy" => Class::Copy,
@@ -162,11 +151,7 @@
 fn classify_rollback(scanner: Scanner<'_>) -> Class {
     alone(scanner, |rest| {
         let goes_to_savepoint = rest.iter().any(|p| is_word(Some(*p), &["to"]));
-        if goes_to_savepoint {
-            Class::Write
-        } else {
-            Class::Rollback
-        }
+        if goes_to_savepoint { Class::Write } else { Class::Rollback }
     })
 }
 
@@ -178,8 +163,7 @@
 }
 
 fn says_read_only(rest: &[Piece<'_>]) -> bool {
-    rest.windows(2)
-        .any(|w| is_word(Some(w[0]), &["read"]) && is_word(Some(w[1]), &["only"]))
+    rest.windows(2).any(|w| is_word(Some(w[0]), &["read"]) && is_word(Some(w[1]), &["only"]))
 }
 
 fn is_own_setting(mut scanner: Scanner<'_>) -> bool {
--- a/crates/persimmon-request/src/exchange.rs
+++ b/crates/persimmon-request/src/exchange.rs
@@ -204,10 +204,7 @@
     #[must_use]
     pub fn with_connection(req: Request, instance: InstanceId) -> Self {
         let mut exchange = Self::new(req);
-        exchange.stage = Stage::Connecting {
-            instance,
-            ask: false,
-        };
+        exchange.stage = Stage::Connecting { instance, ask: false };
         exchange
     }
 
@@ -309,14 +306,8 @@
                 return step;
             }
         }
-        self.stage = Stage::Connecting {
-            instance: primary,
-            ask: false,
-        };
-        Step::Connect {
-            instance: primary,
-            term: Some(term),
-        }
+        self.stage = Stage::Connecting { instance: primary, ask: false };
+        Step::Connect { instance: primary, term: Some(term) }
     }
 
     fn needs_sample(&self, session: &Session) -> bool {
@@ -325,11 +316,7 @@
 
     fn choose_replica(&mut self, env: &mut Env<'_>, session: &Session) -> Option<Step> {
         let fresh = Session::new(env.now);
-        let session = if self.omit == Omission::Floor {
-            &fresh
-        } else {
-            session
-        };
+        let session = if self.omit == Omission::Floor { &fresh } else { session };
         let chosen = route(
             env.view,
             env.knowledge,
@@ -346,10 +333,7 @@
             Route::Primary => return None,
         };
         self.stage = Stage::Connecting { instance, ask };
-        Some(Step::Connect {
-            instance,
-            term: None,
-        })
+        Some(Step::Connect { instance, term: None })
     }
 
     fn connected(&mut self) -> Step {
@@ -386,16 +370,10 @@
         };
         env.knowledge.prove(instance, proof);
         let no_starts = TermStarts::new();
-        let starts = env
-            .view
-            .group(self.req.service)
-            .map_or(&no_starts, |g| &g.starts);
+        let starts = env.view.group(self.req.service).map_or(&no_starts, |g| &g.starts);
         let floor = session.floor();
         let max_age = self.req.max_age;
-        if env
-            .knowledge
-            .is_proven(instance, env.now, starts, floor, max_age)
-        {
+        if env.knowledge.is_proven(instance, env.now, starts, floor, max_age) {
             return self.send(instance);
         }
         env.knowledge.found_behind(instance, env.now);
--- a/crates/persimmon-request/src/hint.rs
+++ b/crates/persimmon-request/src/hint.rs
@@ -41,11 +41,7 @@
         let Some(list) = comment.trim().strip_prefix("persimmon:") else {
             return Ok(hint);
         };
-        for word in list
-            .split(',')
-            .map(str::trim)
-            .filter(|word| !word.is_empty())
-        {
+        for word in list.split(',').map(str::trim).filter(|word| !word.is_empty()) {
             hint.take_in(word)?;
         }
         Ok(hint)
@@ -69,8 +65,5 @@
     if let Some(millis) = text.strip_suffix("ms") {
         return millis.parse().ok().map(Duration::from_millis);
     }
-    text.strip_suffix('s')?
-        .parse()
-        .ok()
-        .map(Duration::from_secs)
+    text.strip_suffix('s')?.parse().ok().map(Duration::from_secs)
 }
--- a/crates/persimmon-request/src/knowledge.rs
+++ b/crates/persimmon-request/src/knowledge.rs
@@ -56,8 +56,7 @@
 
     fn entry(&mut self, id: InstanceId) -> &mut Instance {
         if self.instances.len() <= id.index() {
-            self.instances
-                .resize_with(id.index() + 1, Instance::default);
+            self.instances.resize_with(id.index() + 1, Instance::default);
         }
         &mut self.instances[id.index()]
     }
--- a/crates/persimmon-request/src/policy.rs
+++ b/crates/persimmon-request/src/policy.rs
@@ -69,9 +69,7 @@
         _: &mut SmallRng,
         suitable: &[InstanceId],
     ) -> InstanceId {
-        let best = suitable
-            .iter()
-            .min_by_key(|id| load(table, knowledge, **id));
+        let best = suitable.iter().min_by_key(|id| load(table, knowledge, **id));
         best.copied().unwrap_or(suitable[0])
     }
 }
@@ -91,11 +89,7 @@
     ) -> InstanceId {
         let one = suitable[rng.random_range(0..suitable.len())];
         let other = suitable[rng.random_range(0..suitable.len())];
-        if load(table, knowledge, other) < load(table, knowledge, one) {
-            other
-        } else {
-            one
-        }
+        if load(table, knowledge, other) < load(table, knowledge, one) { other } else { one }
     }
 }
 
--- a/crates/persimmon-rollout/src/delta.rs
+++ b/crates/persimmon-rollout/src/delta.rs
@@ -12,17 +12,8 @@
     let suffix = (0..common - prefix)
         .take_while(|&i| old[old.len() - 1 - i] == new[new.len() - 1 - i])
         .count();
-    let added = new[prefix..new.len() - suffix]
-        .iter()
-        .map(|line| (*line).to_owned())
-        .collect();
-    TableDelta {
-        from,
-        to,
-        at: prefix,
-        removed: old.len() - suffix - prefix,
-        added,
-    }
+    let added = new[prefix..new.len() - suffix].iter().map(|line| (*line).to_owned()).collect();
+    TableDelta { from, to, at: prefix, removed: old.len() - suffix - prefix, added }
 }
 
 /// The text after a change, or nothing if the change does not fit the text.
--- a/crates/persimmon-rollout/src/plugin.rs
+++ b/crates/persimmon-rollout/src/plugin.rs
@@ -12,10 +12,7 @@
 use crate::delta::{apply, between};
 
 #[distributed_slice(PLUGINS)]
-static ENTRY: PluginEntry = PluginEntry {
-    order: 20,
-    build: || Box::new(Rollout::new()),
-};
+static ENTRY: PluginEntry = PluginEntry { order: 20, build: || Box::new(Rollout::new()) };
 
 /// Keeps the table in force.
 #[derive(Debug, Default)]
@@ -40,23 +37,12 @@
             Ok(table) => table,
             Err(problems) => {
                 self.refused = version;
-                let problem = problems
-                    .0
-                    .first()
-                    .map(ToString::to_string)
-                    .unwrap_or_default();
-                cx.record(TimelineKind::TableRefused {
-                    version,
-                    problem: Arc::from(problem),
-                });
+                let problem = problems.0.first().map(ToString::to_string).unwrap_or_default();
+                cx.record(TimelineKind::TableRefused { version, problem: Arc::from(problem) });
                 return;
             }
         };
-        let next = InForce {
-            version,
-            text: Arc::clone(&seen.text),
-            table: Arc::new(table),
-        };
+        let next = InForce { version, text: Arc::clone(&seen.text), table: Arc::new(table) };
         let previous = std::mem::replace(&mut cx.shared.in_force, next);
         cx.record(TimelineKind::TableInForce { version });
         cx.publish();
@@ -70,34 +56,18 @@
         }
         // A delta from version zero only announces a version.
         let fits = delta.from == have && have != 0;
-        let text = if fits {
-            apply(&cx.shared.in_force.text, delta)
-        } else {
-            None
-        };
+        let text = if fits { apply(&cx.shared.in_force.text, delta) } else { None };
         let Some(text) = text else {
             cx.send(from, PeerMessage::AskTable { have });
             return;
         };
-        self.take_in(
-            cx,
-            &TableSeen {
-                version: delta.to,
-                text: Arc::from(text),
-            },
-        );
+        self.take_in(cx, &TableSeen { version: delta.to, text: Arc::from(text) });
     }
 
     fn handle_peer(&mut self, cx: &mut Context<'_>, from: &DaemonId, message: &PeerMessage) {
         match message {
             PeerMessage::Table { version, text } => {
-                self.take_in(
-                    cx,
-                    &TableSeen {
-                        version: *version,
-                        text: Arc::clone(text),
-                    },
-                );
+                self.take_in(cx, &TableSeen { version: *version, text: Arc::clone(text) });
             }
             PeerMessage::TableChange(delta) => self.take_in_change(cx, from, delta),
             PeerMessage::AskTable { have } => {
@@ -125,13 +95,7 @@
     let message = if previous.version == 0 {
         // Peers that hold an earlier version ask; a whole table is not pushed unasked.
         let at = 0;
-        PeerMessage::TableChange(TableDelta {
-            from: 0,
-            to: version,
-            at,
-            removed: 0,
-            added: vec![],
-        })
+        PeerMessage::TableChange(TableDelta { from: 0, to: version, at, removed: 0, added: vec![] })
     } else {
         let delta = between(previous.version, &previous.text, version, &in_force.text);
         PeerMessage::TableChange(delta)
--- a/crates/persimmon-table/src/cell.rs
+++ b/crates/persimmon-table/src/cell.rs
@@ -22,17 +22,13 @@
     /// The text of a column, empty if the row ends before it.
     pub(crate) fn text(&self, column: &str) -> String {
         let index = self.columns.iter().position(|c| c == column);
-        index
-            .and_then(|i| self.cells.get(i))
-            .cloned()
-            .unwrap_or_default()
+        index.and_then(|i| self.cells.get(i)).cloned().unwrap_or_default()
     }
 
     /// Notes a problem with a column's value.
     pub(crate) fn problem(&mut self, column: &str, allowed: &str) {
         let found = self.text(column);
-        self.problems
-            .push(Problem::new(self.line, column, &found, allowed));
+        self.problems.push(Problem::new(self.line, column, &found, allowed));
     }
 
     /// A name of lower-case letters, digits and dashes.
@@ -47,11 +43,7 @@
 
     /// A whole number within a range.
     pub(crate) fn number(&mut self, column: &str, range: RangeInclusive<u32>) -> u32 {
-        let number = self
-            .text(column)
-            .parse::<u32>()
-            .ok()
-            .filter(|n| range.contains(n));
+        let number = self.text(column).parse::<u32>().ok().filter(|n| range.contains(n));
         let Some(number) = number else {
             self.problem(
                 column,
--- a/crates/persimmon-table/src/diff.rs
+++ b/crates/persimmon-table/src/diff.rs
@@ -40,8 +40,5 @@
 }
 
 fn rows(text: &str) -> Vec<&str> {
-    text.lines()
-        .map(str::trim_end)
-        .filter(|row| row.chars().any(|c| c != ','))
-        .collect()
+    text.lines().map(str::trim_end).filter(|row| row.chars().any(|c| c != ',')).collect()
 }
--- a/crates/persimmon-table/src/table.rs
+++ b/crates/persimmon-table/src/table.rs
@@ -18,16 +18,8 @@
 
 const PLACE_COLUMNS: &[&str] = &["name", "region"];
 const SERVICE_COLUMNS: &[&str] = &["name", "replica_reads", "staleness_ms", "queue", "daemons"];
-const INSTANCE_COLUMNS: &[&str] = &[
-    "name",
-    "service",
-    "place",
-    "address",
-    "read_weight",
-    "connections",
-    "slots",
-    "state",
-];
+const INSTANCE_COLUMNS: &[&str] =
+    &["name", "service", "place", "address", "read_weight", "connections", "slots", "state"];
 const KIND_COLUMNS: &[&str] = &["name", "length", "wait_ms", "deadline_ms"];
 
 /// A table in which every row passed every check.
@@ -78,21 +70,14 @@
     }
 
     fn read_row(&mut self, raw: &RawRow, problems: &mut Vec<Problem>) {
-        let mut row = RowReader {
-            line: raw.line,
-            columns: &raw.columns,
-            cells: &raw.cells,
-            problems,
-        };
+        let mut row =
+            RowReader { line: raw.line, columns: &raw.columns, cells: &raw.cells, problems };
         let name = row.name("name");
         if self.names(&raw.section).any(|n| *n == name) {
             row.problem("name", "a name that stands once in its section");
         }
         match raw.section.as_str() {
-            "place" => self.places.push(PlaceRow {
-                name,
-                region: row.name("region"),
-            }),
+            "place" => self.places.push(PlaceRow { name, region: row.name("region") }),
             "service" => self.services.push(read_service(name, &mut row)),
             "instance" => {
                 let instance = self.read_instance(name, &mut row);
@@ -122,10 +107,7 @@
             slots: row.number("slots", 1..=10_000),
             state: row.choice(
                 "state",
-                &[
-                    ("serving", InstanceState::Serving),
-                    ("leaving", InstanceState::Leaving),
-                ],
+                &[("serving", InstanceState::Serving), ("leaving", InstanceState::Leaving)],
             ),
         }
     }
@@ -144,29 +126,20 @@
         for (index, instance) in self.instances.iter().enumerate() {
             self.members[instance.service.index()].push(InstanceId::new(index));
         }
-        self.default_kind = self
-            .kinds
-            .iter()
-            .position(|k| &*k.name == DEFAULT_KIND)
-            .unwrap_or_default();
+        self.default_kind =
+            self.kinds.iter().position(|k| &*k.name == DEFAULT_KIND).unwrap_or_default();
     }
 
     /// The service with a name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<ServiceId> {
-        self.services
-            .iter()
-            .position(|s| &*s.name == name)
-            .map(ServiceId::new)
+        self.services.iter().position(|s| &*s.name == name).map(ServiceId::new)
     }
 
     /// The instance with a name.
     #[must_use]
     pub fn instance(&self, name: &str) -> Option<InstanceId> {
-        self.instances
-            .iter()
-            .position(|i| &*i.name == name)
-            .map(InstanceId::new)
+        self.instances.iter().position(|i| &*i.name == name).map(InstanceId::new)
     }
 
     /// The instances of a service.
@@ -225,10 +198,7 @@
     }
     KindRow {
         name,
-        length: row.choice(
-            "length",
-            &[("short", Length::Short), ("long", Length::Long)],
-        ),
+        length: row.choice("length", &[("short", Length::Short), ("long", Length::Long)]),
         wait,
         deadline: deadline.max(Duration::from_millis(1)),
     }
@@ -269,18 +239,11 @@
         let record = match record {
             Ok(record) => record,
             Err(err) => {
-                problems.push(Problem::new(
-                    1,
-                    "file",
-                    &err.to_string(),
-                    "a CSV file in UTF-8",
-                ));
+                problems.push(Problem::new(1, "file", &err.to_string(), "a CSV file in UTF-8"));
                 return rows;
             }
         };
-        let line = record
-            .position()
-            .map_or(1, |p| usize::try_from(p.line()).unwrap_or(1));
+        let line = record.position().map_or(1, |p| usize::try_from(p.line()).unwrap_or(1));
         let mut cells: Vec<String> = record.iter().map(str::to_owned).collect();
         let first = cells.remove(0);
         if first.is_empty() && cells.iter().all(String::is_empty) {
@@ -297,24 +260,10 @@
             problems.push(Problem::new(line, "section", &first, allowed));
             continue;
         };
-        if let Some(extra) = cells
-            .iter()
-            .skip(columns.len())
-            .find(|cell| !cell.is_empty())
-        {
-            problems.push(Problem::new(
-                line,
-                "section",
-                extra,
-                "no cell beyond the header's",
-            ));
+        if let Some(extra) = cells.iter().skip(columns.len()).find(|cell| !cell.is_empty()) {
+            problems.push(Problem::new(line, "section", extra, "no cell beyond the header's"));
         }
-        rows.push(RawRow {
-            line,
-            section: first,
-            columns: Arc::clone(columns),
-            cells,
-        });
+        rows.push(RawRow { line, section: first, columns: Arc::clone(columns), cells });
     }
     rows
 }
@@ -333,12 +282,7 @@
     }
     for column in known {
         if !cells.iter().any(|cell| cell == column) {
-            problems.push(Problem::new(
-                line,
-                "header",
-                "",
-                &format!("a column `{column}`"),
-            ));
+            problems.push(Problem::new(line, "header", "", &format!("a column `{column}`")));
         }
     }
 }
--- a/crates/persimmon-types/src/clock.rs
+++ b/crates/persimmon-types/src/clock.rs
@@ -26,9 +26,7 @@
     /// Milliseconds since the Unix epoch, for logs and the time line only.
     #[must_use]
     pub fn wall_ms(self) -> u64 {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/crates/persimmon-types/src/group.rs
+++ b/crates/persimmon-types/src/group.rs
@@ -62,24 +62,18 @@
     /// The usable reservation of `daemon`, the lowest first.
     #[must_use]
     pub fn reservation(&self, daemon: &DaemonId) -> Option<&Reservation> {
-        self.reserved
-            .iter()
-            .find(|r| r.holder == *daemon && r.term > self.term)
+        self.reserved.iter().find(|r| r.holder == *daemon && r.term > self.term)
     }
 
     /// Gives new term numbers to `holders`, keeping the numbers of those that already have one.
     pub fn reserve(&mut self, holders: &[DaemonId]) {
         let term = self.term;
-        self.reserved
-            .retain(|r| r.term > term && holders.contains(&r.holder));
+        self.reserved.retain(|r| r.term > term && holders.contains(&r.holder));
         for holder in holders {
             if self.reserved.iter().any(|r| r.holder == *holder) {
                 continue;
             }
-            self.reserved.push(Reservation {
-                term: Term(self.next_term),
-                holder: holder.clone(),
-            });
+            self.reserved.push(Reservation { term: Term(self.next_term), holder: holder.clone() });
             self.next_term += 1;
         }
         // The holder of the lowest term acts first; a higher term may always follow a lower one.
--- a/crates/persimmon-types/src/position.rs
+++ b/crates/persimmon-types/src/position.rs
@@ -113,10 +113,7 @@
             }
             lsn = lsn.min(start.inherited);
         }
-        Position {
-            term: floor.term,
-            lsn,
-        }
+        Position { term: floor.term, lsn }
     }
 
     /// Whether an instance that has applied up to `applied` shows everything up to `floor`.
--- a/crates/persimmon-types/src/time.rs
+++ b/crates/persimmon-types/src/time.rs
@@ -46,10 +46,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
@@ -57,10 +54,7 @@
     type Output = Self;
 
     fn sub(self, rhs: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
@@ -83,15 +77,9 @@
     #[must_use]
     pub fn next(self, wall_ms: u64) -> Self {
         if wall_ms > self.wall_ms {
-            return Self {
-                wall_ms,
-                counter: 0,
-            };
-        }
-        Self {
-            wall_ms: self.wall_ms,
-            counter: self.counter + 1,
+            return Self { wall_ms, counter: 0 };
         }
+        Self { wall_ms: self.wall_ms, counter: self.counter + 1 }
     }
 
     /// The stamp after receiving `other` at wall-clock time `wall_ms`.
--- a/crates/persimmon-types/src/timeline.rs
+++ b/crates/persimmon-types/src/timeline.rs
@@ -117,10 +117,6 @@
 impl fmt::Display for TimelineEvent {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = serde_json::to_string(&self.kind).unwrap_or_default();
-        write!(
-            f,
-            "{}.{:04} {} {kind}",
-            self.stamp.wall_ms, self.stamp.counter, self.daemon
-        )
+        write!(f, "{}.{:04} {} {kind}", self.stamp.wall_ms, self.stamp.counter, self.daemon)
     }
 }
--- a/crates/persimmon-types/src/verdict.rs
+++ b/crates/persimmon-types/src/verdict.rs
@@ -95,18 +95,12 @@
     /// A refusal of a request that has not run.
     #[must_use]
     pub fn not_run(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            reason,
-        }
+        Self { verdict: Verdict::NotRun, reason }
     }
 
     /// A refusal of a request that may have run.
     #[must_use]
     pub fn may_have_run(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reason,
-        }
+        Self { verdict: Verdict::MayHaveRun, reason }
     }
 }
--- /dev/null
+++ b/crates/persimmond/src/backend.rs
@@ -0,0 +1,202 @@
+//! One connection to a backend server.
+//!
+//! Invariant: `at_rest` is true only if every message sent has been answered completely, so that a
+//! later answer cannot belong to an earlier request.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::SharedCfg;
+use ntex::codec::Decoder;
+use ntex::io::Io;
+use ntex::time::{Millis, timeout};
+use ntex::util::{Bytes, BytesMut, Either};
+use persimmon_pg::{
+    ErrorFields, FrameError, Rows, error_fields, frame_length, query, startup, text_row,
+};
+use persimmon_types::Term;
+use thiserror::Error;
+
+/// Splits a stream into messages without decoding them.
+#[derive(Clone, Copy, Debug)]
+pub struct FrameCodec;
+
+impl Decoder for FrameCodec {
+    type Item = Bytes;
+    type Error = FrameError;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<Bytes>, FrameError> {
+        Ok(frame_length(src)?.map(|length| src.split_to(length)))
+    }
+}
+
+/// Why a connection is of no more use.
+#[derive(Debug, Error)]
+pub enum BackendError {
+    /// No process listens, or it broke the connection.
+    #[error("refused or reset: {0}")]
+    Broken(#[from] io::Error),
+    /// No answer came in time.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The instance refused the session.
+    #[error("{} {}", .0.code, .0.message)]
+    Refused(ErrorFields),
+    /// The instance broke the protocol.
+    #[error("{0}")]
+    Protocol(#[from] FrameError),
+}
+
+/// The result of a query of this project's own.
+pub type Answer = Result<Rows, ErrorFields>;
+
+/// A connection to an instance.
+#[derive(Debug)]
+pub struct Backend {
+    io: Io,
+    /// The process of the instance.
+    pub incarnation: u64,
+    /// What cancels a request of this connection: its process number and secret.
+    pub key: (i32, i32),
+    /// Where the instance listens.
+    pub address: SocketAddr,
+    /// Prepared statements that the instance holds for this connection.
+    pub prepared: HashSet<u64>,
+    /// The term that the instance checks for each statement.
+    pub fence: Option<Term>,
+    /// Whether every message has been answered completely.
+    pub at_rest: bool,
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX).max(1))
+}
+
+impl Backend {
+    /// Opens a connection within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance does not accept the session.
+    pub async fn connect(
+        address: SocketAddr,
+        parameters: &[(&str, &str)],
+        limit: Duration,
+    ) -> Result<Self, BackendError> {
+        let opening = Self::open(address, parameters);
+        timeout(millis(limit), opening).await.unwrap_or(Err(BackendError::TimedOut))
+    }
+
+    async fn open(address: SocketAddr, parameters: &[(&str, &str)]) -> Result<Self, BackendError> {
+        let io = ntex::rt::tcp_connect(address, SharedCfg::default()).await?;
+        let io: Io = io;
+        let mut backend = Self {
+            io,
+            incarnation: 0,
+            key: (0, 0),
+            address,
+            prepared: HashSet::new(),
+            fence: None,
+            at_rest: true,
+        };
+        backend.send(&startup(parameters))?;
+        loop {
+            let frame = backend.frame().await?;
+            match frame[0] {
+                b'E' => return Err(BackendError::Refused(error_fields(&frame))),
+                b'S' => backend.take_parameter(&frame),
+                b'K' if frame.len() >= 13 => {
+                    let word = |at: usize| {
+                        i32::from_be_bytes([frame[at], frame[at + 1], frame[at + 2], frame[at + 3]])
+                    };
+                    backend.key = (word(5), word(9));
+                }
+                b'Z' => break,
+                _ => {}
+            }
+        }
+        backend.at_rest = true;
+        Ok(backend)
+    }
+
+    fn take_parameter(&mut self, frame: &[u8]) {
+        let mut words = frame[5..].split(|b| *b == 0);
+        let (Some(name), Some(value)) = (words.next(), words.next()) else {
+            return;
+        };
+        if name == b"persimmon.incarnation" {
+            let value = std::str::from_utf8(value).unwrap_or_default();
+            self.incarnation = value.parse().unwrap_or_default();
+        }
+    }
+
+    /// Sends bytes; from now on the connection is not at rest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.at_rest = false;
+        self.io.encode_slice(bytes)
+    }
+
+    /// Receives the next message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks.
+    pub async fn frame(&self) -> Result<Bytes, BackendError> {
+        match self.io.recv(&FrameCodec).await {
+            Ok(Some(frame)) => Ok(frame),
+            Ok(None) => Err(BackendError::Broken(io::ErrorKind::UnexpectedEof.into())),
+            Err(Either::Left(err)) => Err(BackendError::Protocol(err)),
+            Err(Either::Right(err)) => Err(BackendError::Broken(err)),
+        }
+    }
+
+    /// Whether the peer has closed the connection.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.io.is_closed()
+    }
+
+    /// Runs a query of this project's own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks or no answer comes within `limit`.
+    pub async fn ask(&mut self, sql: &str, limit: Duration) -> Result<Answer, BackendError> {
+        self.send(&query(sql))?;
+        timeout(millis(limit), self.answer()).await.unwrap_or(Err(BackendError::TimedOut))
+    }
+
+    /// Receives the answer to one simple query.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks.
+    pub async fn answer(&mut self) -> Result<Answer, BackendError> {
+        let mut rows = Rows::new();
+        let mut failure = None;
+        loop {
+            let frame = self.frame().await?;
+            match frame[0] {
+                b'D' => rows.extend(text_row(&frame)),
+                b'E' => {
+                    failure.get_or_insert_with(|| error_fields(&frame));
+                }
+                b'Z' => {
+                    self.at_rest = true;
+                    return Ok(failure.map_or(Ok(rows), Err));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// A connection that several parts of one request share in turn.
+pub type SharedBackend = Rc<std::cell::RefCell<Backend>>;
--- /dev/null
+++ b/crates/persimmond/src/settings.rs
@@ -0,0 +1,227 @@
+//! The daemon's settings, checked once into an immutable struct.
+//!
+//! Invariant: [`Settings`] exists only if every key is known and every value is allowed.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::logging::LogFormat;
+
+/// How one of several suitable replicas is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyName {
+    /// The less loaded of two drawn at random.
+    PowerOfTwo,
+    /// The fewest outstanding requests.
+    LeastOutstanding,
+    /// Weighted round robin.
+    RoundRobin,
+}
+
+/// The settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The daemon's name, unique among hosts.
+    pub name: Arc<str>,
+    /// The failure domain of the host, a place of the table.
+    pub place: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators and health checks connect.
+    pub admin: SocketAddr,
+    /// Where other daemons connect.
+    pub peers: SocketAddr,
+    /// The platform's base address.
+    pub platform: Arc<str>,
+    /// How many threads carry traffic.
+    pub traffic_threads: usize,
+    /// How long a call of the platform's store may take.
+    pub store_timeout: Duration,
+    /// How long to accept connections after readiness has failed.
+    pub drain_delay: Duration,
+    /// How long a graceful shutdown may take.
+    pub drain_limit: Duration,
+    /// How long a write may wait for a majority of the group.
+    pub held_timeout: Duration,
+    /// How replicas are chosen.
+    pub policy: PolicyName,
+    /// Where metrics go.
+    pub statsd: Option<SocketAddr>,
+    /// How logs look.
+    pub log_format: LogFormat,
+    /// What is logged.
+    pub log_level: Arc<str>,
+}
+
+/// Every problem of a settings file, one a line with its path.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub struct Problems(pub Vec<String>);
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for problem in &self.0 {
+            writeln!(f, "  {problem}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads values and notes each problem.
+struct Reader<'a> {
+    root: &'a Value,
+    known: BTreeSet<&'static str>,
+    problems: Vec<String>,
+}
+
+impl Reader<'_> {
+    fn find(&mut self, path: &'static str) -> Option<Value> {
+        self.known.insert(path);
+        let mut value = self.root;
+        for key in path.split('.') {
+            value = value.get(key)?;
+        }
+        Some(value.clone())
+    }
+
+    fn problem(&mut self, path: &str, found: &Value, allowed: &str) {
+        self.problems.push(format!("{path}: found {found}, allowed: {allowed}"));
+    }
+
+    fn text(&mut self, path: &'static str, default: Option<&str>) -> Arc<str> {
+        match self.find(path) {
+            Some(Value::String(text)) if !text.is_empty() => Arc::from(text),
+            Some(other) => {
+                self.problem(path, &other, "a text");
+                Arc::from("")
+            }
+            None => {
+                if default.is_none() {
+                    self.problems.push(format!("{path}: missing"));
+                }
+                Arc::from(default.unwrap_or_default())
+            }
+        }
+    }
+
+    fn address(&mut self, path: &'static str, default: Option<&str>) -> SocketAddr {
+        let text = self.text(path, default);
+        let Ok(address) = text.parse() else {
+            if !text.is_empty() {
+                let found = Value::from(&*text);
+                self.problem(path, &found, "an IP number and port, such as 192.0.2.7:5432");
+            }
+            return SocketAddr::from(([0, 0, 0, 0], 0));
+        };
+        address
+    }
+
+    fn number(&mut self, path: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
+        let Some(found) = self.find(path) else {
+            return default;
+        };
+        let number = found.as_u64().filter(|n| range.contains(n));
+        number.unwrap_or_else(|| {
+            let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+            self.problem(path, &found, &allowed);
+            default
+        })
+    }
+
+    fn millis(&mut self, path: &'static str, default: u64, range: RangeInclusive<u64>) -> Duration {
+        Duration::from_millis(self.number(path, default, range))
+    }
+
+    fn choice<T: Copy>(&mut self, path: &'static str, choices: &[(&str, T)]) -> T {
+        let text = self.text(path, Some(choices[0].0));
+        for (word, value) in choices {
+            if *text == **word {
+                return *value;
+            }
+        }
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        self.problem(path, &Value::from(&*text), &words.join(" or "));
+        choices[0].1
+    }
+
+    fn refuse_unknown(&mut self, prefix: &str, value: &Value) {
+        let Value::Object(map) = value else {
+            return;
+        };
+        for (key, value) in map {
+            let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
+            let is_section = self.known.iter().any(|k| k.starts_with(&format!("{path}.")));
+            if is_section {
+                self.refuse_unknown(&path, value);
+            } else if !self.known.contains(path.as_str()) {
+                self.problems.push(format!("{path}: unknown key"));
+            }
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem found.
+    pub fn load(path: &Path) -> Result<Self, Problems> {
+        let text = fs::read_to_string(path).map_err(|err| Problems(vec![err.to_string()]))?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem found.
+    pub fn parse(text: &str) -> Result<Self, Problems> {
+        let root: Value =
+            serde_saphyr::from_str(text).map_err(|err| Problems(vec![err.to_string()]))?;
+        let mut reader = Reader { root: &root, known: BTreeSet::new(), problems: Vec::new() };
+        let settings = Self::read(&mut reader);
+        reader.refuse_unknown("", &root);
+        if reader.problems.is_empty() { Ok(settings) } else { Err(Problems(reader.problems)) }
+    }
+
+    fn read(reader: &mut Reader<'_>) -> Self {
+        Self {
+            name: reader.text("name", None),
+            place: reader.text("place", None),
+            callers: reader.address("listen.callers", None),
+            admin: reader.address("listen.admin", None),
+            peers: reader.address("listen.peers", None),
+            platform: reader.text("platform.address", None),
+            store_timeout: reader.millis("platform.timeout_ms", 1_000, 10..=60_000),
+            traffic_threads: usize::try_from(reader.number("traffic.threads", 1, 1..=64))
+                .unwrap_or(1),
+            held_timeout: reader.millis("traffic.held_timeout_ms", 5_000, 10..=600_000),
+            policy: reader.choice(
+                "traffic.policy",
+                &[
+                    ("power-of-two", PolicyName::PowerOfTwo),
+                    ("least-outstanding", PolicyName::LeastOutstanding),
+                    ("round-robin", PolicyName::RoundRobin),
+                ],
+            ),
+            drain_delay: reader.millis("drain.delay_ms", 2_000, 0..=600_000),
+            drain_limit: reader.millis("drain.limit_ms", 60_000, 0..=3_600_000),
+            statsd: reader
+                .find("metrics.statsd")
+                .is_some()
+                .then(|| reader.address("metrics.statsd", None)),
+            log_format: reader
+                .choice("log.format", &[("human", LogFormat::Human), ("json", LogFormat::Json)]),
+            log_level: reader.text("log.level", Some("info")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmond/src/traffic/setting.rs
@@ -0,0 +1,84 @@
+//! The daemon's own settings of a session: `SET persimmon.NAME = VALUE`.
+
+use persimmon_request::{Session, SessionMode};
+use persimmon_types::{Clock, Token};
+use thiserror::Error;
+
+/// What a session has set.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SessionSettings {
+    /// The kind of work of statements that name none.
+    pub(crate) kind: Option<String>,
+}
+
+/// Why a setting was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub(crate) enum SettingError {
+    /// The name is none of the daemon's.
+    #[error("unknown setting `persimmon.{0}`; known are session, token and kind")]
+    Unknown(String),
+    /// The value is not allowed.
+    #[error("persimmon.{0}: {1}")]
+    Value(String, String),
+}
+
+/// Applies one setting.
+///
+/// # Errors
+///
+/// Returns an error if the name or the value is not allowed.
+pub(crate) fn apply(
+    session: &mut Session,
+    settings: &mut SessionSettings,
+    name: &str,
+    value: &str,
+) -> Result<(), SettingError> {
+    match name {
+        "session" => *session = session.with_mode(SessionMode::Shared),
+        "token" => {
+            let token: Token = value.parse().map_err(|err: persimmon_types::TokenError| {
+                SettingError::Value(name.to_owned(), err.to_string())
+            })?;
+            session.take_token(Clock.now(), token.0);
+        }
+        "kind" => settings.kind = Some(value.to_owned()),
+        _ => return Err(SettingError::Unknown(name.to_owned())),
+    }
+    Ok(())
+}
+
+/// The name and value of a `SET persimmon.NAME = VALUE` statement.
+pub(crate) fn parse(sql: &str) -> Option<(String, String)> {
+    let at = sql.to_ascii_lowercase().find("persimmon.")?;
+    let rest = &sql[at + "persimmon.".len()..];
+    let end = rest.find(|c: char| !c.is_ascii_alphanumeric() && c != '_')?;
+    let (name, rest) = rest.split_at(end);
+    let rest = rest.trim_start();
+    let value = match rest.strip_prefix('=') {
+        Some(value) => value,
+        None if rest.get(..3).is_some_and(|w| w.eq_ignore_ascii_case("to ")) => &rest[3..],
+        None => return None,
+    };
+    let value = value.trim().trim_end_matches(';').trim().trim_matches('\'');
+    Some((name.to_ascii_lowercase(), value.to_owned()))
+}
+
+/// The settings in a startup message: `persimmon.NAME` itself, or `-c persimmon.NAME=VALUE` in
+/// `options`.
+pub(crate) fn from_startup<'a>(
+    parameters: impl Iterator<Item = (&'a String, &'a String)>,
+) -> Vec<(String, String)> {
+    let mut settings = Vec::new();
+    for (key, value) in parameters {
+        if let Some(name) = key.strip_prefix("persimmon.") {
+            settings.push((name.to_owned(), value.clone()));
+        } else if key == "options" {
+            for word in value.split_whitespace() {
+                let word = word.strip_prefix("-c").unwrap_or(word);
+                let pair = word.strip_prefix("persimmon.").and_then(|w| w.split_once('='));
+                settings.extend(pair.map(|(name, value)| (name.to_owned(), value.to_owned())));
+            }
+        }
+    }
+    settings
+}
