Failover under faults with real processes, and a checker apart from the daemons

Cause: seven faults at a change of primary had no proof. Two failed at first: callers of a frozen primary were held until their deadlines (no write acknowledged within 20 s), and a victim that returned was not told to follow, because the survey asked for the daemon's turn among reservations and not for its rank. Ruled out: longer waits in the tests. Change: a request on a replaced primary's connection is given up 50 ms after the new term is in force; the survey and the upkeep of the record go by one flag.

--- a/crates/persimmon-failover/src/group.rs
+++ b/crates/persimmon-failover/src/group.rs
@@ -33,6 +33,8 @@
     holds: bool,
     /// The order in which this daemon acts among the holders.
     turn: u32,
+    /// Whether this daemon looks after all instances and the record of the group.
+    keeps: bool,
 }
 
 impl Group {
@@ -45,6 +47,7 @@
             spent: BTreeSet::new(),
             holds: false,
             turn: 0,
+            keeps: false,
         }
     }
 
@@ -70,9 +73,10 @@
     ) {
         let holders = ranked(&format!("group-{}", self.name), members, GroupRecord::RESERVATIONS);
         let turn = holders.iter().position(|h| *h == cx.shared.me);
+        self.keeps = turn == Some(0);
         self.writer.advance(cx);
         let Some(record) = self.record(cx) else {
-            self.holds = turn == Some(0);
+            self.holds = self.keeps;
             self.turn = 0;
             self.found(cx, rules, &holders);
             return;
@@ -86,8 +90,8 @@
             return;
         }
         self.monitor.observe_term(record.term);
-        self.probe(cx, rules, &record, turn == Some(0));
-        if turn == Some(0) && is_settled {
+        self.probe(cx, rules, &record);
+        if self.keeps && is_settled {
             self.keep_record(cx, &record, &holders);
         }
         self.advance(cx, rules, &record);
@@ -124,12 +128,12 @@
         }
     }
 
-    fn probe(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord, surveys: bool) {
+    fn probe(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord) {
         let table = Self::table(cx);
         let Some(service) = self.service(&table) else {
             return;
         };
-        if surveys && cx.now >= self.monitor.next_survey {
+        if self.keeps && cx.now >= self.monitor.next_survey {
             self.monitor.next_survey = cx.now + rules.survey_interval;
             self.survey(cx, &table, service);
         }
@@ -181,7 +185,7 @@
             self.monitor.take_in(rules, outcome);
             self.answer_askers(cx, record.term);
         } else if let Ok(status) = outcome
-            && self.turn == 0
+            && self.keeps
             && self.phase == Phase::Idle
         {
             follow_if_stray(cx, &table, &record, instance, status);
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod cluster;
 pub mod deployment;
+pub mod history;
 pub mod http;
 pub mod instance;
 mod pgclient;
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod writers;
 
 pub use cluster::{Cluster, ClusterConfig, wait_until};
 pub use deployment::Deployment;
+pub use history::{History, Told, Violation};
 pub use pgclient::{PgClient, QueryResult};
+pub use writers::Writers;
--- a/crates/persimmond/src/traffic/request.rs
+++ b/crates/persimmond/src/traffic/request.rs
@@ -10,6 +10,7 @@
 
 use crate::backend::{Answer as QueryAnswer, BackendError};
 use crate::counters::Counters;
+use crate::traffic::Worker;
 use crate::traffic::batch::Batch;
 use crate::traffic::caller::{Caller, Transaction};
 use crate::traffic::confirm::confirm;
@@ -20,6 +21,9 @@
 /// How long a replica may take to say what it has applied.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long an answer of a replaced primary may still take.
+const ANSWER_GRACE: Duration = Duration::from_millis(50);
+
 /// How a batch ended.
 #[derive(Debug)]
 pub(crate) enum Served {
@@ -238,8 +242,12 @@
         self.caller.cancel.set_running(running(lease.backend()));
         worker.mind.borrow_mut().knowledge.began(instance);
         let left = self.deadline.since(Clock.now());
+        let superseded = superseded(&worker, self.request.service, lease.backend().fence);
         let relay = self.relay.run(lease.backend(), &self.batch.body, held);
-        let result = timeout(millis(left), relay).await.unwrap_or(Err(BackendError::TimedOut));
+        let result = tokio::select! {
+            result = timeout(millis(left), relay) => result.unwrap_or(Err(BackendError::TimedOut)),
+            () = superseded => Err(BackendError::TimedOut),
+        };
         worker.mind.borrow_mut().knowledge.ended(instance);
         self.caller.cancel.set_running(None);
         match result {
@@ -375,6 +383,27 @@
     }
 }
 
+/// Completes once a primary of `term` has been replaced and its answer is not to be expected.
+///
+/// Nothing that a replaced primary still answers to a write can be acknowledged, and one that is
+/// frozen or cut off would hold its callers until their deadlines.
+async fn superseded(worker: &Rc<Worker>, service: ServiceId, term: Option<Term>) {
+    let Some(term) = term else {
+        return std::future::pending().await;
+    };
+    let mut revision = worker.shared.links.snapshots.subscribe();
+    loop {
+        let view = worker.shared.links.snapshots.load();
+        if view.group(service).is_some_and(|group| group.term > term) {
+            break;
+        }
+        if revision.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+    sleep(millis(ANSWER_GRACE)).await;
+}
+
 /// What a batch may do, as far as it is known.
 fn access(batch: &Batch, replica_reads: bool) -> Access {
     if batch.hint.once {
