Graceful shutdown, leaving backend servers and the operators' command, proved with processes

Ruled out: the refusal itself (it says not run); its text was lost to a reset, or the caller learned of the end only with its next request. Change: an active caller is let go together with an answer, an idle one after 100 ms of silence, and a refused connection lingers until the caller has read why. A leaving primary is replaced without being sealed first. A daemon without the store asks its seeds. persimmonctl pulls, checks, compares, pushes, lists and shows the table, and prints the time line.

--- a/crates/persimmon-failover/src/change.rs
+++ b/crates/persimmon-failover/src/change.rs
@@ -65,14 +65,16 @@
     pub(crate) majority_at: Option<Time>,
     /// The ends of the sealed instances' logs.
     pub(crate) sealed: BTreeMap<Arc<str>, Position>,
+    /// The instance that is to be replaced although it lives; it is not sealed and not chosen.
+    pub(crate) spared: Option<Arc<str>>,
     /// Instances that did not answer the last order.
     pub(crate) failed: BTreeSet<Arc<str>>,
 }
 
 impl Sealing {
     /// Begins to seal a term.
-    pub(crate) fn new(term: Term, now: Time) -> Self {
-        Self { term, since: now, sent: now, ..Self::default() }
+    pub(crate) fn new(term: Term, now: Time, spared: Option<Arc<str>>) -> Self {
+        Self { term, since: now, sent: now, spared, ..Self::default() }
     }
 
     /// Whether the promotion may be decided: a majority is sealed, and the rest has answered, has
@@ -89,7 +91,8 @@
             return false;
         }
         let majority_at = *self.majority_at.get_or_insert(now);
-        let everybody = self.sealed.len() + self.failed.len() >= members;
+        let spared = usize::from(self.spared.is_some());
+        let everybody = self.sealed.len() + self.failed.len() + spared >= members;
         everybody || now.since(majority_at) >= rules.seal_grace
     }
 
--- a/crates/persimmon-failover/src/group.rs
+++ b/crates/persimmon-failover/src/group.rs
@@ -263,8 +263,18 @@
         }
     }
 
+    /// Whether the primary lives but is to receive no more work.
+    fn is_leaving(&self, cx: &Context<'_>, record: &GroupRecord) -> bool {
+        let table = Self::table(cx);
+        let row = table.instance(&record.primary).map(|id| table.instance_row(id));
+        row.is_some_and(|row| row.state == InstanceState::Leaving)
+    }
+
     fn consider(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord) {
         let Some(reason) = self.monitor.suspicion(rules) else {
+            if self.turn == 0 && self.is_leaving(cx, record) {
+                self.begin(cx, rules, record);
+            }
             return;
         };
         self.phase = Phase::Asking { since: cx.now, agree: 0, disagree: 0 };
@@ -339,9 +349,14 @@
     }
 
     fn seal(&mut self, cx: &mut Context<'_>, term: Term) {
-        self.phase = Phase::Sealing(Sealing::new(term, cx.now));
+        let record = self.record(cx);
+        // A primary that lives goes on serving until its replicas are sealed; had it been sealed
+        // too, it would hold the highest position and be chosen again.
+        let spared = record.filter(|r| self.is_leaving(cx, r)).map(|r| r.primary);
+        let except: BTreeSet<Arc<str>> = spared.iter().cloned().collect();
+        self.phase = Phase::Sealing(Sealing::new(term, cx.now, spared));
         cx.record(TimelineKind::FailoverBegan { service: Arc::clone(&self.name), term });
-        self.send_seals(cx, term, &BTreeSet::new());
+        self.send_seals(cx, term, &except);
     }
 
     fn send_seals(&self, cx: &mut Context<'_>, term: Term, except: &BTreeSet<Arc<str>>) {
@@ -382,7 +397,8 @@
         }
         sealing.sent = cx.now;
         sealing.failed.clear();
-        let done: BTreeSet<Arc<str>> = sealing.sealed.keys().cloned().collect();
+        let mut done: BTreeSet<Arc<str>> = sealing.sealed.keys().cloned().collect();
+        done.extend(sealing.spared.clone());
         self.send_seals(cx, term, &done);
     }
 
@@ -588,7 +604,7 @@
         let Some(record) = self.record(cx) else {
             return true;
         };
-        if self.monitor.suspicion(rules).is_none() {
+        if self.monitor.suspicion(rules).is_none() && !self.is_leaving(cx, &record) {
             self.phase = Phase::Idle;
             return true;
         }
--- a/crates/persimmon-lab/src/writers.rs
+++ b/crates/persimmon-lab/src/writers.rs
@@ -100,6 +100,11 @@
         };
         if let Some(id) = &last {
             read_back(connected, history, id).await;
+            // The daemon may have let the session go together with the answer.
+            if connected.is_closed() {
+                turn += 1;
+                continue;
+            }
         }
         let id = format!("w{writer}-{number}");
         let sql = format!("/* persimmon: once */ INSERT INTO ledger VALUES ('{id}', {number})");
--- a/crates/persimmon-member/src/plugin.rs
+++ b/crates/persimmon-member/src/plugin.rs
@@ -94,6 +94,8 @@
             let heard = cx.now - Duration::from_millis(*store_age_ms);
             cx.shared.store_heard = cx.shared.store_heard.max(heard);
             let now = cx.now;
+            // Whoever answers under another name than before replaces the earlier entry.
+            cx.shared.peers.retain(|id, peer| id == from || peer.address != *address);
             let peer = cx.shared.peers.entry(from.clone()).or_insert_with(|| Peer {
                 address: *address,
                 alive: true,
--- a/crates/persimmon-types/src/lib.rs
+++ b/crates/persimmon-types/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 pub mod entity;
+pub mod fingerprint;
 pub mod group;
 pub mod position;
 pub mod rendezvous;
@@ -18,6 +19,7 @@
 
 pub use clock::Clock;
 pub use entity::{DaemonId, InstanceId, KindId, PlaceId, ServiceId};
+pub use fingerprint::fingerprint;
 pub use group::{GroupRecord, Reservation};
 pub use position::{Lsn, Position, Term, TermStart, TermStarts};
 pub use rendezvous::{rank, ranked};
--- a/crates/persimmon-types/src/rendezvous.rs
+++ b/crates/persimmon-types/src/rendezvous.rs
@@ -2,21 +2,11 @@
 //!
 //! Invariant: removing a candidate changes the order of no others.
 
-use std::hash::Hasher;
-
-use twox_hash::XxHash64;
-
 use crate::entity::DaemonId;
-
-/// The seed is fixed so that all daemons agree, also across releases.
-const SEED: u64 = 0x7065_7273_696d;
+use crate::fingerprint::fingerprint;
 
 fn weight(key: &str, candidate: &DaemonId) -> u64 {
-    let mut hasher = XxHash64::with_seed(SEED);
-    hasher.write(key.as_bytes());
-    hasher.write_u8(0);
-    hasher.write(candidate.as_str().as_bytes());
-    hasher.finish()
+    fingerprint(format!("{key}\0{candidate}").as_bytes())
 }
 
 /// The first `count` candidates for `key`, best first.
--- a/crates/persimmonctl/src/main.rs
+++ b/crates/persimmonctl/src/main.rs
@@ -1,1 +1,181 @@
-fn main() {}
+//! `persimmonctl`, the operators' command.
+
+mod daemons;
+mod table;
+mod timeline;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gumdrop::Options;
+use persimmon_platform::Client;
+use thiserror::Error;
+
+/// How long a call of the platform or a daemon may take.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads and edits the operators' table, and shows what is in force.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong use, 3 the table has problems, 4 somebody else's edit
+/// came first.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help and exit
+    help: bool,
+    /// print the version and exit
+    version: bool,
+    /// the platform's base address
+    #[options(no_short, meta = "URL", default = "http://127.0.0.1:8600")]
+    platform: String,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// read, check and edit the table
+    Table(TableArguments),
+    /// show the events of all daemons in one order
+    Timeline(TimelineArguments),
+}
+
+#[derive(Debug, Options)]
+struct TableArguments {
+    /// print this help and exit
+    help: bool,
+    #[options(command)]
+    command: Option<TableCommand>,
+}
+
+#[derive(Debug, Options)]
+enum TableCommand {
+    /// write the table to a file, with its version beside it
+    Pull(FileArguments),
+    /// check a file and print every problem
+    Check(FileArguments),
+    /// show what a file changes against the table
+    Diff(FileArguments),
+    /// make a file the table, if nobody changed it since it was pulled
+    Push(PushArguments),
+    /// list the latest edits
+    History(NoArguments),
+    /// show which version is in force on each daemon
+    Status(NoArguments),
+}
+
+#[derive(Debug, Options)]
+struct FileArguments {
+    /// print this help and exit
+    help: bool,
+    /// the CSV file
+    #[options(free, required)]
+    file: PathBuf,
+}
+
+#[derive(Debug, Options)]
+struct PushArguments {
+    /// print this help and exit
+    help: bool,
+    /// the CSV file
+    #[options(free, required)]
+    file: PathBuf,
+    /// who makes the edit
+    author: Option<String>,
+    /// why
+    note: Option<String>,
+    /// the version that the edit is based on, instead of the one noted by pull
+    base: Option<u64>,
+}
+
+#[derive(Debug, Options)]
+struct NoArguments {
+    /// print this help and exit
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct TimelineArguments {
+    /// print this help and exit
+    help: bool,
+    /// one JSON object a line instead of text
+    json: bool,
+}
+
+/// Why a command did not succeed.
+#[derive(Debug, Error)]
+pub(crate) enum Failure {
+    /// The platform or a daemon did not answer.
+    #[error("{0}")]
+    Store(#[from] persimmon_platform::StoreError),
+    /// A file cannot be read or written.
+    #[error("{0}")]
+    File(#[from] std::io::Error),
+    /// The table's object is malformed.
+    #[error("the table's object is malformed: {0}")]
+    Object(#[from] serde_json::Error),
+    /// The table has problems.
+    #[error("{0}the table is refused")]
+    Problems(#[from] persimmon_table::Problems),
+    /// Another edit came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// Anything else.
+    #[error("{0}")]
+    Other(String),
+}
+
+impl Failure {
+    fn exit_code(&self) -> u8 {
+        match self {
+            Self::Problems(_) => 3,
+            Self::Conflict(_) => 4,
+            _ => 1,
+        }
+    }
+}
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let args = Arguments::parse_args_default_or_exit();
+    if args.version {
+        println!("persimmonctl {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let platform = Client::new(&args.platform, TIMEOUT).await;
+    let result = match args.command {
+        Some(Command::Table(table)) => match table.command {
+            Some(command) => run_table(&platform, command).await,
+            None => return usage(TableArguments::usage()),
+        },
+        Some(Command::Timeline(timeline)) => timeline::print(&platform, timeline.json).await,
+        None => return usage(Arguments::usage()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("persimmonctl: {err}");
+            ExitCode::from(err.exit_code())
+        }
+    }
+}
+
+fn usage(text: &str) -> ExitCode {
+    eprintln!("{text}");
+    ExitCode::from(2)
+}
+
+async fn run_table(platform: &Client, command: TableCommand) -> Result<(), Failure> {
+    match command {
+        TableCommand::Pull(args) => table::pull(platform, &args.file).await,
+        TableCommand::Check(args) => table::check(&args.file),
+        TableCommand::Diff(args) => table::diff(platform, &args.file).await,
+        TableCommand::Push(args) => {
+            let author = args.author.unwrap_or_else(|| "unknown".to_owned());
+            let note = args.note.unwrap_or_default();
+            table::push(platform, &args.file, args.base, &author, &note).await
+        }
+        TableCommand::History(_) => table::history(platform).await,
+        TableCommand::Status(_) => daemons::print_status(platform).await,
+    }
+}
--- /dev/null
+++ b/crates/persimmonctl/src/table.rs
@@ -0,0 +1,187 @@
+//! The commands on the table.
+//!
+//! Invariant: "accepted" is printed only after the platform has said that the edit took effect, or
+//! the edit has been found in the object after a lost answer.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use persimmon_platform::{AcceptedEdit, Client, Edit, Object, StoreError, TableObject};
+use persimmon_table::{Change, Table, diff as rows_changed};
+use persimmon_types::Clock;
+
+use crate::Failure;
+
+/// How often a push whose answer was lost is looked up.
+const LOOKUPS: u32 = 5;
+
+/// The file beside a pulled table that notes its version.
+fn version_file(file: &Path) -> PathBuf {
+    let mut name = file.as_os_str().to_owned();
+    name.push(".version");
+    PathBuf::from(name)
+}
+
+async fn read(platform: &Client) -> Result<(u64, TableObject), Failure> {
+    match platform.read(TableObject::KEY).await? {
+        Some(object) => Ok((object.version, TableObject::parse(&object.value)?)),
+        None => Ok((0, TableObject::default())),
+    }
+}
+
+/// Writes the table to a file.
+pub(crate) async fn pull(platform: &Client, file: &Path) -> Result<(), Failure> {
+    let (version, object) = read(platform).await?;
+    fs::write(file, object.text.as_bytes())?;
+    fs::write(version_file(file), version.to_string())?;
+    println!("version {version} is in {}", file.display());
+    Ok(())
+}
+
+/// Checks a file.
+pub(crate) fn check(file: &Path) -> Result<(), Failure> {
+    let table = Table::parse(&fs::read_to_string(file)?)?;
+    println!(
+        "ok: {} places, {} services, {} instances, {} kinds",
+        table.places.len(),
+        table.services.len(),
+        table.instances.len(),
+        table.kinds.len()
+    );
+    Ok(())
+}
+
+/// Shows what a file changes.
+pub(crate) async fn diff(platform: &Client, file: &Path) -> Result<(), Failure> {
+    let (_, object) = read(platform).await?;
+    print_changes(&rows_changed(&object.text, &fs::read_to_string(file)?));
+    Ok(())
+}
+
+fn print_changes(changes: &[Change]) {
+    for change in changes {
+        println!("{change}");
+    }
+    if changes.is_empty() {
+        println!("no row differs");
+    }
+}
+
+fn base_of(file: &Path, base: Option<u64>) -> Result<u64, Failure> {
+    if let Some(base) = base {
+        return Ok(base);
+    }
+    let noted = fs::read_to_string(version_file(file)).map_err(|_| {
+        let file = file.display();
+        Failure::Other(format!("{file}.version is missing: pull first, or give --base VERSION"))
+    })?;
+    noted.trim().parse().map_err(|_| Failure::Other("the noted version is no number".to_owned()))
+}
+
+/// Makes a file the table.
+pub(crate) async fn push(
+    platform: &Client,
+    file: &Path,
+    base: Option<u64>,
+    author: &str,
+    note: &str,
+) -> Result<(), Failure> {
+    let text = fs::read_to_string(file)?;
+    Table::parse(&text)?;
+    let base = base_of(file, base)?;
+    let (version, current) = read(platform).await?;
+    // The identity follows from what is pushed, so that a retry of the same edit is recognised.
+    let id = identity(base, author, &text);
+    if current.has_edit(&id) {
+        return accepted(file, version);
+    }
+    if version != base {
+        return Err(conflict(base, version, &current, &text));
+    }
+    let changes = rows_changed(&current.text, &text).iter().map(ToString::to_string).collect();
+    let edit = AcceptedEdit {
+        id: Arc::from(id.as_str()),
+        base,
+        author: Arc::from(author),
+        note: Arc::from(note),
+        at_ms: Clock.wall_ms(),
+        changes,
+    };
+    let object = current.with_edit(Edit { text: Arc::from(text.as_str()), edit });
+    let value = Arc::from(serde_json::to_string(&object)?);
+    match platform.write(TableObject::KEY, base, value).await {
+        Ok(version) => accepted(file, version),
+        Err(StoreError::Conflict(other)) => {
+            let (version, other) = parse_other(other)?;
+            if other.has_edit(&id) {
+                return accepted(file, version);
+            }
+            Err(conflict(base, version, &other, &text))
+        }
+        Err(StoreError::Unavailable(reason)) => settle(platform, file, &id, &reason).await,
+    }
+}
+
+fn parse_other(other: Option<Object>) -> Result<(u64, TableObject), Failure> {
+    match other {
+        Some(object) => Ok((object.version, TableObject::parse(&object.value)?)),
+        None => Ok((0, TableObject::default())),
+    }
+}
+
+/// Finds out whether an edit whose answer was lost took effect.
+async fn settle(platform: &Client, file: &Path, id: &str, reason: &str) -> Result<(), Failure> {
+    for _ in 0..LOOKUPS {
+        if let Ok((version, object)) = read(platform).await {
+            if object.has_edit(id) {
+                return accepted(file, version);
+            }
+            return Err(Failure::Other(format!("not accepted ({reason}); push again")));
+        }
+        ntex::time::sleep(ntex::time::Millis(500)).await;
+    }
+    Err(Failure::Other(format!(
+        "unknown whether the edit was accepted ({reason}); push the same file again to find out"
+    )))
+}
+
+fn accepted(file: &Path, version: u64) -> Result<(), Failure> {
+    fs::write(version_file(file), version.to_string())?;
+    println!("accepted as version {version}");
+    Ok(())
+}
+
+fn identity(base: u64, author: &str, text: &str) -> String {
+    let key = format!("{base}\n{author}\n{text}");
+    format!("{:016x}", persimmon_types::fingerprint(key.as_bytes()))
+}
+
+fn conflict(base: u64, version: u64, current: &TableObject, text: &str) -> Failure {
+    let mut message = format!("refused: the table is at version {version}, not {base}\n");
+    message.push_str("changed beneath this edit:\n");
+    for edit in current.edits.iter().filter(|e| e.base >= base) {
+        message.push_str(&format!("  by {}: {}\n", edit.author, edit.note));
+        for change in &edit.changes {
+            message.push_str(&format!("    {change}\n"));
+        }
+    }
+    message.push_str("this file against the table now:\n");
+    for change in rows_changed(&current.text, text) {
+        message.push_str(&format!("    {change}\n"));
+    }
+    Failure::Conflict(message)
+}
+
+/// Lists the latest edits.
+pub(crate) async fn history(platform: &Client) -> Result<(), Failure> {
+    let (version, object) = read(platform).await?;
+    println!("version {version} is the newest accepted");
+    for edit in object.edits.iter().rev() {
+        println!("{} ms, on version {}, by {}: {}", edit.at_ms, edit.base, edit.author, edit.note);
+        for change in &edit.changes {
+            println!("  {change}");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/persimmonctl/src/timeline.rs
@@ -0,0 +1,29 @@
+//! The events of all daemons in one order.
+
+use ntex::client::Client as HttpClient;
+use persimmon_platform::Client;
+use persimmon_types::TimelineEvent;
+
+use crate::Failure;
+use crate::daemons::get;
+
+/// Prints the events of all daemons that answer, ordered by their hybrid logical stamps.
+pub(crate) async fn print(platform: &Client, json: bool) -> Result<(), Failure> {
+    let http = HttpClient::new().await;
+    let mut events: Vec<TimelineEvent> = Vec::new();
+    for host in platform.hosts().await?.hosts {
+        match get::<Vec<TimelineEvent>>(&http, host.admin, "/timeline").await {
+            Ok(part) => events.extend(part),
+            Err(reason) => eprintln!("persimmonctl: {} is left out: {reason}", host.name),
+        }
+    }
+    events.sort_by(|a, b| (a.stamp, &a.daemon).cmp(&(b.stamp, &b.daemon)));
+    for event in events {
+        if json {
+            println!("{}", serde_json::to_string(&event)?);
+        } else {
+            println!("{event}");
+        }
+    }
+    Ok(())
+}
--- a/crates/persimmond/src/control/mod.rs
+++ b/crates/persimmond/src/control/mod.rs
@@ -11,7 +11,7 @@
 
 use ntex::rt::{DefaultRuntime, System};
 use ntex::time::{Millis, interval};
-use persimmon_kernel::{Action, Event, Kernel};
+use persimmon_kernel::{Action, Event, HostSeen, Kernel};
 use persimmon_types::{Clock, DaemonId, TimelineKind};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
@@ -93,6 +93,7 @@
     }
     store::spawn_hosts(&host.store);
     links.journal.record(TimelineKind::Started);
+    announce_seeds(&links);
     let mut reporter = Reporter::new(Arc::clone(&links.counters), links.settings.statsd);
     let ticks = interval(TICK);
     let mut tick_count = 0_u32;
@@ -118,6 +119,17 @@
     }
 }
 
+/// Lets the kernel ask the seeds; they have no duties, since their names are not known yet.
+fn announce_seeds(links: &Links) {
+    let hosts = links.settings.seeds.iter().map(|address| HostSeen {
+        daemon: DaemonId::new(&format!("seed@{address}")),
+        address: *address,
+        leaving: true,
+    });
+    // The control thread is gone only when the process ends.
+    let _ = links.events.send(Event::Hosts(hosts.collect()));
+}
+
 impl Host {
     fn carry_out(&self, action: Action, kernel: &Kernel) {
         match action {
--- a/crates/persimmond/src/settings.rs
+++ b/crates/persimmond/src/settings.rs
@@ -40,6 +40,8 @@
     pub admin: SocketAddr,
     /// Where other daemons connect.
     pub peers: SocketAddr,
+    /// Peers to ask for the table while the platform does not answer.
+    pub seeds: Vec<SocketAddr>,
     /// The platform's base address.
     pub platform: Arc<str>,
     /// How many threads carry traffic.
@@ -124,6 +126,19 @@
         address
     }
 
+    fn addresses(&mut self, path: &'static str) -> Vec<SocketAddr> {
+        let Some(found) = self.find(path) else {
+            return Vec::new();
+        };
+        let items = found.as_array().cloned().unwrap_or_default();
+        let addresses: Vec<SocketAddr> =
+            items.iter().filter_map(|item| item.as_str()?.parse().ok()).collect();
+        if !found.is_array() || addresses.len() != items.len() {
+            self.problem(path, &found, "a list of IP numbers and ports");
+        }
+        addresses
+    }
+
     fn number(&mut self, path: &'static str, default: u64, range: RangeInclusive<u64>) -> u64 {
         let Some(found) = self.find(path) else {
             return default;
@@ -200,6 +215,7 @@
             callers: reader.address("listen.callers", None),
             admin: reader.address("listen.admin", None),
             peers: reader.address("listen.peers", None),
+            seeds: reader.addresses("seeds"),
             platform: reader.text("platform.address", None),
             store_timeout: reader.millis("platform.timeout_ms", 1_000, 10..=60_000),
             traffic_threads: usize::try_from(reader.number("traffic.threads", 1, 1..=64))
--- a/crates/persimmond/src/traffic/caller.rs
+++ b/crates/persimmond/src/traffic/caller.rs
@@ -2,8 +2,10 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ntex::io::Io;
+use ntex::time::sleep;
 use ntex::util::{Bytes, BytesMut, Either};
 use persimmon_pg::{
     FrameError, command_complete, error_response, parameter_status, ready, sqlstate, tag,
@@ -13,16 +15,21 @@
     Clock, InstanceId, Reason, Refusal, ServiceId, TimelineKind, Token, Verdict,
 };
 
+use tokio::sync::watch;
+
 use crate::backend::FrameCodec;
 use crate::cancel::CancelHandle;
 use crate::counters::Counters;
 use crate::traffic::batch::{Batch, BatchError, Body, Collector, Op};
-use crate::traffic::pool::Lease;
+use crate::traffic::pool::{Lease, millis};
 use crate::traffic::request::{self, Served};
 use crate::traffic::setting::{self, SessionSettings};
 use crate::traffic::statement::Statements;
 use crate::traffic::{Worker, greeting};
 
+/// How long a caller must be idle before it is let go, so that a request under way is not crossed.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
 /// The state of the caller's transaction.
 #[derive(Debug)]
 pub(crate) enum Transaction {
@@ -149,6 +156,10 @@
             if result.is_err() {
                 return End::Gone;
             }
+            if *self.worker.closing.borrow() && matches!(self.transaction, Transaction::Idle) {
+                // The end goes out together with the answer, before the caller can send more.
+                return End::Closing;
+            }
         }
     }
 
@@ -159,7 +170,7 @@
         let received = tokio::select! {
             biased;
             received = self.io.recv(&FrameCodec) => received,
-            _ = closing.wait_for(|closing| *closing), if is_idle => return Err(End::Closing),
+            () = paused(&mut closing), if is_idle => return Err(End::Closing),
         };
         match received {
             Ok(Some(frame)) => Ok(frame),
@@ -321,6 +332,14 @@
     }
 }
 
+/// Completes when the daemon lets callers go and this one has been idle for a while since.
+async fn paused(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        return std::future::pending().await;
+    }
+    sleep(millis(IDLE_PAUSE)).await;
+}
+
 fn answer_op(op: &Op, completion: &str, out: &mut BytesMut) {
     match op {
         Op::Parse(_) => out.extend_from_slice(&tag(b'1')),
--- a/crates/persimmond/src/traffic/greeting.rs
+++ b/crates/persimmond/src/traffic/greeting.rs
@@ -24,6 +24,9 @@
 /// How long an instance may take to accept a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long a refused caller may take to close its end.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// The version that callers are told; drivers decide by it which syntax they may use.
 const SERVER_VERSION: &str = "16.0 (persimmond)";
 
@@ -125,10 +128,18 @@
 /// Tells a caller why its connection ends.
 pub(crate) async fn refuse(io: &Io, code: &str, message: &str) {
     let error = error_response("FATAL", code, message, "");
-    if io.encode_slice(&error).is_ok() {
-        // The caller may be gone already.
-        let _ = io.flush(true).await;
+    if io.encode_slice(&error).is_err() || io.flush(true).await.is_err() {
+        // The caller is gone already.
+        return;
     }
+    // Closing with unread input would reset the connection and could lose the error; a caller that
+    // has read it closes its end.
+    let discarded = async {
+        while let Ok(Some(())) = io.read_notify().await {
+            io.with_read_buf(|buf| buf.clear());
+        }
+    };
+    let _ = timeout(millis(LINGER), discarded).await;
 }
 
 /// Whether an error of an instance is worth telling of in the log.
--- a/crates/persimmond/src/traffic/statement.rs
+++ b/crates/persimmond/src/traffic/statement.rs
@@ -4,12 +4,11 @@
 //! same text share it and a statement is known on whichever connection a request gets.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
 use std::rc::Rc;
 
 use persimmon_pg::{FrameError, rename};
 use persimmon_request::{Class, Hint, HintError, classify};
-use twox_hash::XxHash64;
+use persimmon_types::fingerprint;
 
 /// One prepared statement.
 #[derive(Debug)]
@@ -29,9 +28,7 @@
 impl Statement {
     fn new(sql: &str, frame: &[u8]) -> Result<Self, FrameError> {
         let anonymous = rename(frame, "")?;
-        let mut hasher = XxHash64::with_seed(0);
-        hasher.write(&anonymous);
-        let hash = hasher.finish();
+        let hash = fingerprint(&anonymous);
         Ok(Self {
             hash,
             class: classify(sql),
