Fault matrix over the decision machines, with mechanisms left out to show that it notices

Cause: the machines had no proof at every step. Change: a leaving primary is replaced only while a majority follows it, is sealed too if that fails, and not spared once suspected; pauses after a change that was given up grow and are randomised.

--- a/crates/persimmon-failover/src/change.rs
+++ b/crates/persimmon-failover/src/change.rs
@@ -86,7 +86,9 @@
         members: usize,
         majority: usize,
     ) -> bool {
-        let majority = if rules.omit == Omission::Seal { 1 } else { majority };
+        if rules.omit == Omission::Seal {
+            return !self.sealed.is_empty();
+        }
         if self.sealed.len() < majority {
             return false;
         }
@@ -98,13 +100,10 @@
 
     /// The instance to promote: the highest position, then the one that `prefers` names.
     pub(crate) fn choose(&self, rules: &Rules, prefers: impl Fn(&str) -> bool) -> Option<Arc<str>> {
-        let best = self.sealed.iter().max_by_key(|(name, position)| {
-            let position = match rules.omit {
-                Omission::Highest => Position::default(),
-                _ => **position,
-            };
-            (position, prefers(name))
-        });
+        if rules.omit == Omission::Highest {
+            return self.sealed.keys().next().cloned();
+        }
+        let best = self.sealed.iter().max_by_key(|(name, position)| (**position, prefers(name)));
         best.map(|(name, _)| Arc::clone(name))
     }
 }
--- a/crates/persimmon-failover/src/group.rs
+++ b/crates/persimmon-failover/src/group.rs
@@ -5,13 +5,14 @@
 
 use persimmon_kernel::{
     Action, Context, GroupSeen, Order, OrderFailure, OrderOutcome, PeerMessage, ProbeFailure,
-    RequestId, Status, StoreOutcome,
+    RequestId, Role, Status, StoreOutcome,
 };
 use persimmon_table::{InstanceState, Table};
 use persimmon_types::{
     DaemonId, GroupRecord, Position, Reservation, ServiceId, Term, TermStart, Time, TimelineKind,
     ranked,
 };
+use rand::Rng;
 
 use crate::change::{Phase, Sealing};
 use crate::monitor::Monitor;
@@ -33,6 +34,8 @@
     holds: bool,
     /// The order in which this daemon acts among the holders.
     turn: u32,
+    /// Changes given up in a row in the present term.
+    abandoned: u32,
     /// Whether this daemon looks after all instances and the record of the group.
     keeps: bool,
 }
@@ -47,6 +50,7 @@
             spent: BTreeSet::new(),
             holds: false,
             turn: 0,
+            abandoned: 0,
             keeps: false,
         }
     }
@@ -89,7 +93,9 @@
             self.phase = Phase::Idle;
             return;
         }
-        self.monitor.observe_term(record.term);
+        if self.monitor.observe_term(record.term) {
+            self.abandoned = 0;
+        }
         self.probe(cx, rules, &record);
         if self.keeps && is_settled {
             self.keep_record(cx, &record, &holders);
@@ -270,9 +276,26 @@
         row.is_some_and(|row| row.state == InstanceState::Leaving)
     }
 
+    /// Whether a majority of the group follows the primary, so that it can be replaced without
+    /// being sealed first.
+    fn can_do_without(&self, cx: &Context<'_>, record: &GroupRecord) -> bool {
+        let table = Self::table(cx);
+        let Some(service) = self.service(&table) else {
+            return false;
+        };
+        let statuses = self.monitor.statuses.iter();
+        let followers = statuses.filter(|(name, status)| {
+            **name != record.primary
+                && status.role == Role::Replica
+                && status.term == record.term
+                && status.sealed <= record.term
+        });
+        followers.count() >= table.majority(service)
+    }
+
     fn consider(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord) {
         let Some(reason) = self.monitor.suspicion(rules) else {
-            if self.turn == 0 && self.is_leaving(cx, record) {
+            if self.keeps && self.is_leaving(cx, record) && self.can_do_without(cx, record) {
                 self.begin(cx, rules, record);
             }
             return;
@@ -321,13 +344,13 @@
     /// Takes a term and begins to seal it.
     fn begin(&mut self, cx: &mut Context<'_>, rules: &Rules, record: &GroupRecord) {
         if rules.omit == Omission::ReservedTerm {
-            self.seal(cx, Term(record.term.0 + 1));
+            self.seal(cx, rules, Term(record.term.0 + 1));
             return;
         }
         let reservation =
             record.reservation(&cx.shared.me).filter(|r| !self.spent.contains(&r.term));
         match reservation {
-            Some(reservation) => self.seal(cx, reservation.term),
+            Some(reservation) => self.seal(cx, rules, reservation.term),
             None => self.claim(cx, record),
         }
     }
@@ -348,11 +371,12 @@
         self.phase = Phase::Claiming { request, since: cx.now };
     }
 
-    fn seal(&mut self, cx: &mut Context<'_>, term: Term) {
+    fn seal(&mut self, cx: &mut Context<'_>, rules: &Rules, term: Term) {
         let record = self.record(cx);
         // A primary that lives goes on serving until its replicas are sealed; had it been sealed
         // too, it would hold the highest position and be chosen again.
-        let spared = record.filter(|r| self.is_leaving(cx, r)).map(|r| r.primary);
+        let lives = self.monitor.suspicion(rules).is_none();
+        let spared = record.filter(|r| lives && self.is_leaving(cx, r)).map(|r| r.primary);
         let except: BTreeSet<Arc<str>> = spared.iter().cloned().collect();
         self.phase = Phase::Sealing(Sealing::new(term, cx.now, spared));
         cx.record(TimelineKind::FailoverBegan { service: Arc::clone(&self.name), term });
@@ -388,7 +412,12 @@
             return;
         }
         let term = sealing.term;
-        if cx.now.since(sealing.since) > rules.phase_limit {
+        let is_over = cx.now.since(sealing.since) > rules.phase_limit;
+        if is_over && sealing.spared.take().is_some() {
+            // A replica failed meanwhile. Those sealed follow no older term, so the change must go
+            // on, with the primary that was to be replaced.
+            sealing.since = cx.now;
+        } else if is_over {
             self.abandon(cx, rules, term, "no majority could be sealed");
             return;
         }
@@ -475,7 +504,7 @@
         let (term, target) = (*term, Arc::clone(target));
         if now.since(*since) > rules.phase_limit {
             if rules.omit == Omission::OneTargetPerTerm {
-                self.seal(cx, term);
+                self.seal(cx, rules, term);
                 return;
             }
             // The order may have taken effect, so nothing else may be promoted under this term.
@@ -557,7 +586,11 @@
     }
 
     fn abandon(&mut self, cx: &mut Context<'_>, rules: &Rules, term: Term, reason: &str) {
-        self.phase = Phase::Backoff { until: cx.now + rules.backoff };
+        // Randomised, growing pauses keep deciders from superseding each other for ever.
+        let growth = 1_u32 << self.abandoned.min(rules.backoff_doublings);
+        let jitter = cx.rng.random_range(1.0..2.0);
+        self.abandoned += 1;
+        self.phase = Phase::Backoff { until: cx.now + (rules.backoff * growth).mul_f64(jitter) };
         cx.record(TimelineKind::FailoverAbandoned {
             service: Arc::clone(&self.name),
             term,
--- a/crates/persimmon-failover/src/monitor.rs
+++ b/crates/persimmon-failover/src/monitor.rs
@@ -27,13 +27,14 @@
 }
 
 impl Monitor {
-    /// Forgets evidence of earlier terms.
-    pub(crate) fn observe_term(&mut self, term: Term) {
+    /// Forgets evidence of earlier terms; says whether the term is new.
+    pub(crate) fn observe_term(&mut self, term: Term) -> bool {
         if self.term == term {
-            return;
+            return false;
         }
         self.term = term;
         self.clear();
+        true
     }
 
     fn clear(&mut self) {
--- a/crates/persimmon-failover/src/rules.rs
+++ b/crates/persimmon-failover/src/rules.rs
@@ -37,11 +37,13 @@
     pub stagger: Duration,
     /// How long to wait for the remaining instances once a majority is sealed.
     pub seal_grace: Duration,
+    /// How often the pause after a change that was given up doubles.
+    pub backoff_doublings: u32,
     /// How long to wait before an order is sent again.
     pub resend_after: Duration,
     /// How long one phase of a change may take before it is given up.
     pub phase_limit: Duration,
-    /// How long to wait after a change was given up.
+    /// How long to wait after a change was first given up, at the least.
     pub backoff: Duration,
     /// How long to wait after the store did not answer.
     pub store_retry: Duration,
@@ -66,7 +68,8 @@
             seal_grace: Duration::from_millis(100),
             resend_after: Duration::from_millis(200),
             phase_limit: Duration::from_millis(1_500),
-            backoff: Duration::from_millis(500),
+            backoff: Duration::from_millis(300),
+            backoff_doublings: 3,
             store_retry: Duration::from_millis(500),
             settle: Duration::from_millis(2_000),
             omit: Omission::Nothing,
--- a/crates/persimmon-request/src/exchange.rs
+++ b/crates/persimmon-request/src/exchange.rs
@@ -371,7 +371,8 @@
         env.knowledge.prove(instance, proof);
         let no_starts = TermStarts::new();
         let starts = env.view.group(self.req.service).map_or(&no_starts, |g| &g.starts);
-        let floor = session.floor();
+        let is_floorless = self.omit == Omission::Floor;
+        let floor = if is_floorless { Position::default() } else { session.floor() };
         let max_age = self.req.max_age;
         if env.knowledge.is_proven(instance, env.now, starts, floor, max_age) {
             return self.send(instance);
--- a/crates/persimmon-rollout/src/plugin.rs
+++ b/crates/persimmon-rollout/src/plugin.rs
@@ -19,6 +19,8 @@
 pub struct Rollout {
     /// The newest version that was refused, to record each refusal once.
     refused: u64,
+    /// Whether a test leaves out that versions only rise.
+    goes_back: bool,
 }
 
 impl Rollout {
@@ -28,9 +30,17 @@
         Self::default()
     }
 
+    /// Leaves out that versions only rise, to show that the proofs notice.
+    #[must_use]
+    pub fn with_versions_that_go_back(mut self) -> Self {
+        self.goes_back = true;
+        self
+    }
+
     fn take_in(&mut self, cx: &mut Context<'_>, seen: &TableSeen) {
         let version = seen.version;
-        if version <= cx.shared.in_force.version || version <= self.refused {
+        let is_old = version <= cx.shared.in_force.version || version <= self.refused;
+        if is_old && !self.goes_back {
             return;
         }
         let table = match Table::parse(&seen.text) {
--- a/crates/persimmon-types/src/time.rs
+++ b/crates/persimmon-types/src/time.rs
@@ -19,13 +19,13 @@
 
     /// Creates an instant from microseconds since the clock's origin.
     #[must_use]
-    pub fn from_micros(micros: u64) -> Self {
+    pub const fn from_micros(micros: u64) -> Self {
         Self(micros)
     }
 
     /// Creates an instant from milliseconds since the clock's origin.
     #[must_use]
-    pub fn from_millis(millis: u64) -> Self {
+    pub const fn from_millis(millis: u64) -> Self {
         Self(millis.saturating_mul(1_000))
     }
 
