--- a/crates/persimmon-lab/examples/lab.rs
+++ b/crates/persimmon-lab/examples/lab.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gumdrop::Options;
+use persimmon_lab::bench::{self, BenchArguments};
 use persimmon_lab::instance::InstanceConfig;
 use persimmon_lab::platform::{self, Platform};
 use persimmon_lab::{Cluster, ClusterConfig, Deployment, instance};
@@ -24,6 +25,8 @@
 enum Subcommand {
     /// start a whole deployment and keep it running
     Demo(DemoArguments),
+    /// run an experiment on real daemons
+    Bench(BenchOptions),
     /// run the stand-in of the platform
     Platform(PlatformArguments),
     /// run the stand-in of one instance
@@ -45,6 +48,39 @@
     duration: Option<String>,
 }
 
+#[derive(Debug, Options)]
+struct BenchOptions {
+    /// print this help and exit
+    help: bool,
+    /// steady, lag, roam, failover, overhead, table, crest, exports or idle
+    #[options(no_short, default = "steady")]
+    scenario: String,
+    /// blue-mahoe or association
+    #[options(no_short, default = "blue-mahoe")]
+    deployment: String,
+    /// power-of-two, least-outstanding or round-robin
+    #[options(no_short, default = "power-of-two")]
+    policy: String,
+    /// how many daemons
+    #[options(no_short, default = "3")]
+    daemons: usize,
+    /// how many services
+    #[options(no_short, default = "1")]
+    services: usize,
+    /// seconds of load
+    #[options(no_short, default = "10")]
+    seconds: u64,
+    /// how many runs, where an experiment repeats itself
+    #[options(no_short, default = "20")]
+    runs: usize,
+    /// seeds the arrivals
+    #[options(no_short, default = "1")]
+    seed: u64,
+    /// print one JSON object in one line
+    #[options(no_short)]
+    json: bool,
+}
+
 #[derive(Debug, Options)]
 struct PlatformArguments {
     /// print this help and exit
@@ -93,6 +129,7 @@
     let args = Arguments::parse_args_default_or_exit();
     let result = match args.command {
         Some(Subcommand::Demo(args)) => demo(&args),
+        Some(Subcommand::Bench(args)) => run_bench(&args),
         Some(Subcommand::Platform(args)) => run_platform(&args),
         Some(Subcommand::Instance(args)) => run_instance(&args),
         None => {
@@ -144,6 +181,28 @@
     }
 }
 
+fn run_bench(options: &BenchOptions) -> io::Result<()> {
+    build_daemon()?;
+    let args = BenchArguments {
+        scenario: options.scenario.parse().map_err(io::Error::other)?,
+        deployment: options.deployment.parse().map_err(io::Error::other)?,
+        policy: options.policy.clone(),
+        daemons: options.daemons,
+        services: options.services,
+        duration: Duration::from_secs(options.seconds),
+        runs: options.runs,
+        seed: options.seed,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let report = runtime.block_on(bench::run(&args))?;
+    if options.json {
+        print_line(&serde_json::to_value(&report)?)
+    } else {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+        Ok(())
+    }
+}
+
 /// Builds the daemon beside this program, which an alias of `cargo run` does not.
 fn build_daemon() -> io::Result<()> {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
--- /dev/null
+++ b/crates/persimmon-lab/src/bench/measure.rs
@@ -0,0 +1,122 @@
+//! What control costs a daemon, read from the operating system.
+
+use std::fs;
+use std::io;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::cluster::Cluster;
+use crate::http;
+
+/// Clock ticks a second in `/proc`, fixed by the kernel's interface.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// The bytes of one message between daemons on the wire, at the most common size.
+const PEER_MESSAGE_BYTES: f64 = 250.0;
+
+/// The bytes of one probe of an instance with its answer.
+const PROBE_BYTES: f64 = 290.0;
+
+/// The bytes of one call of the store with its answer, while nothing changes.
+const STORE_CALL_BYTES: f64 = 420.0;
+
+/// What control costs a daemon, on average over the daemons of a deployment.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ControlCost {
+    /// Share of a core, in percent.
+    pub control_cpu_pct: f64,
+    /// Bytes a second, from counted messages and their sizes.
+    pub control_bytes_per_s: f64,
+    /// Resident memory of the whole daemon, in megabytes.
+    pub control_rss_mb: f64,
+    /// Calls of the store a second, over all daemons, as the store counted them.
+    pub store_calls_per_s: f64,
+    /// Messages to peers a second.
+    pub peer_messages_per_s: f64,
+    /// Probes a second.
+    pub probes_per_s: f64,
+}
+
+/// One reading of the counters.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    at: Instant,
+    cpu_s: f64,
+    rss_mb: f64,
+    store_calls: u64,
+    peer_messages: f64,
+    probes: f64,
+}
+
+fn control_cpu(pid: u32) -> io::Result<f64> {
+    for task in fs::read_dir(format!("/proc/{pid}/task"))? {
+        let path = task?.path();
+        if fs::read_to_string(path.join("comm"))?.trim() != "control" {
+            continue;
+        }
+        let stat = fs::read_to_string(path.join("stat"))?;
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+        let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+        return Ok((ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_SECOND);
+    }
+    Err(io::Error::other("no control thread"))
+}
+
+fn rss_mb(pid: u32) -> io::Result<f64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or_default();
+    let kilobytes = line.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok());
+    Ok(kilobytes.unwrap_or(0.0) / 1_024.0)
+}
+
+fn read(cluster: &Cluster) -> io::Result<Reading> {
+    let mut reading = Reading {
+        at: Instant::now(),
+        cpu_s: 0.0,
+        rss_mb: 0.0,
+        store_calls: cluster.platform_stats()?.calls,
+        peer_messages: 0.0,
+        probes: 0.0,
+    };
+    for daemon in &cluster.daemons {
+        let pid = daemon.process.id();
+        reading.cpu_s += control_cpu(pid)?;
+        reading.rss_mb += rss_mb(pid)?;
+        let counters = &http::get(daemon.admin, "/status")?["counters"];
+        reading.peer_messages += counters["peer_messages"].as_f64().unwrap_or(0.0);
+        reading.probes += counters["probes"].as_f64().unwrap_or(0.0);
+    }
+    Ok(reading)
+}
+
+/// Measures control while `body` runs.
+///
+/// # Errors
+///
+/// Returns an error if a process cannot be read.
+pub async fn control_cost<F: Future>(
+    cluster: &Cluster,
+    body: F,
+) -> io::Result<(F::Output, ControlCost)> {
+    let before = read(cluster)?;
+    let output = body.await;
+    let after = read(cluster)?;
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let daemons = f64::from(u32::try_from(cluster.daemons.len()).unwrap_or(u32::MAX));
+    let calls = after.store_calls - before.store_calls;
+    let store_calls_per_s = f64::from(u32::try_from(calls).unwrap_or(u32::MAX)) / seconds;
+    let peer_messages_per_s = (after.peer_messages - before.peer_messages) / seconds / daemons;
+    let probes_per_s = (after.probes - before.probes) / seconds / daemons;
+    let cost = ControlCost {
+        control_cpu_pct: (after.cpu_s - before.cpu_s) / seconds / daemons * 100.0,
+        control_bytes_per_s: 2.0 * peer_messages_per_s * PEER_MESSAGE_BYTES
+            + probes_per_s * PROBE_BYTES
+            + store_calls_per_s / daemons * STORE_CALL_BYTES,
+        control_rss_mb: after.rss_mb / daemons,
+        store_calls_per_s,
+        peer_messages_per_s,
+        probes_per_s,
+    };
+    Ok((output, cost))
+}
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here ships. Invariant: a stand-in counts and enforces by itself, so that a check never
 //! rests on the word of the daemon that it checks.
 
+pub mod bench;
 pub mod cluster;
 pub mod deployment;
 pub mod history;
--- a/crates/persimmon-pg/src/frame.rs
+++ b/crates/persimmon-pg/src/frame.rs
@@ -50,7 +50,7 @@
         return Ok(None);
     }
     let length = be_u32(&buf[1..]);
-    if length < 4 || length > MAX_FRAME_BYTES {
+    if !(4..=MAX_FRAME_BYTES).contains(&length) {
         return Err(FrameError::Length(length));
     }
     Ok((buf.len() > length).then_some(length + 1))
--- a/crates/persimmon-request/src/exchange.rs
+++ b/crates/persimmon-request/src/exchange.rs
@@ -18,7 +18,7 @@
 use crate::budget::RetryBudget;
 use crate::knowledge::{Knowledge, Proof};
 use crate::policy::Policy;
-use crate::route::{Route, route};
+use crate::route::{Route, Wanted, route};
 use crate::session::Session;
 use crate::view::View;
 
@@ -301,10 +301,10 @@
             self.stage = Stage::Sampling;
             return Step::Confirm { primary, term };
         }
-        if !self.needs_primary {
-            if let Some(step) = self.choose_replica(env, session) {
-                return step;
-            }
+        if !self.needs_primary
+            && let Some(step) = self.choose_replica(env, session)
+        {
+            return step;
         }
         self.stage = Stage::Connecting { instance: primary, ask: false };
         Step::Connect { instance: primary, term: Some(term) }
@@ -317,16 +317,8 @@
     fn choose_replica(&mut self, env: &mut Env<'_>, session: &Session) -> Option<Step> {
         let fresh = Session::new(env.now);
         let session = if self.omit == Omission::Floor { &fresh } else { session };
-        let chosen = route(
-            env.view,
-            env.knowledge,
-            env.policy,
-            env.rng,
-            env.now,
-            self.req.service,
-            session,
-            self.req.max_age,
-        );
+        let wanted = Wanted { service: self.req.service, max_age: self.req.max_age, session };
+        let chosen = route(env, &wanted);
         let (instance, ask) = match chosen {
             Route::Replica(instance) => (instance, false),
             Route::Ask(instance) => (instance, true),
--- a/crates/persimmon-request/src/lib.rs
+++ b/crates/persimmon-request/src/lib.rs
@@ -25,6 +25,6 @@
 pub use hint::{Hint, HintError};
 pub use knowledge::{Knowledge, Proof};
 pub use policy::{LeastOutstanding, Policy, PowerOfTwo, RoundRobin};
-pub use route::{Route, route};
+pub use route::{Route, Wanted, route};
 pub use session::{Session, SessionMode};
 pub use view::{GroupView, View};
--- a/crates/persimmon-request/src/route.rs
+++ b/crates/persimmon-request/src/route.rs
@@ -3,13 +3,10 @@
 use std::time::Duration;
 
 use persimmon_table::InstanceState;
-use persimmon_types::{InstanceId, ServiceId, Time};
-use rand::rngs::SmallRng;
+use persimmon_types::{InstanceId, ServiceId};
 
-use crate::knowledge::Knowledge;
-use crate::policy::Policy;
+use crate::exchange::Env;
 use crate::session::Session;
-use crate::view::View;
 
 /// Where a read goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,17 +19,22 @@
     Primary,
 }
 
-/// Chooses the instance for a read that may be `max_age` old; zero means the primary.
-pub fn route(
-    view: &View,
-    knowledge: &Knowledge,
-    policy: &mut dyn Policy,
-    rng: &mut SmallRng,
-    now: Time,
-    service: ServiceId,
-    session: &Session,
-    max_age: Duration,
-) -> Route {
+/// What a read needs of its instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: ServiceId,
+    /// How old the data may be; zero means the primary.
+    pub max_age: Duration,
+    /// The session whose writes must show.
+    pub session: &'a Session,
+}
+
+/// Chooses the instance for a read.
+pub fn route(env: &mut Env<'_>, wanted: &Wanted<'_>) -> Route {
+    let Wanted { service, max_age, session } = *wanted;
+    let (view, now) = (env.view, env.now);
+    let knowledge = &*env.knowledge;
     let Some(group) = view.group(service) else {
         return Route::Primary;
     };
@@ -58,10 +60,10 @@
         }
     }
     if !proven.is_empty() {
-        return Route::Replica(policy.choose(&view.table, knowledge, rng, &proven));
+        return Route::Replica(env.policy.choose(&view.table, knowledge, env.rng, &proven));
     }
     if !askable.is_empty() {
-        return Route::Ask(policy.choose(&view.table, knowledge, rng, &askable));
+        return Route::Ask(env.policy.choose(&view.table, knowledge, env.rng, &askable));
     }
     Route::Primary
 }
