Control's cost bounded, frozen primaries given up sooner, connections pinned by any statement

Ruled out: fewer probes at today's size; heartbeats were four fifths of the bytes. Change: one heartbeat a second; probe intervals follow a daemon's duties; duties are computed when members or the table change; samples and connects end when their term does; checks pause by floor; any statement of a message may pin.

--- a/crates/persimmon-failover/src/group.rs
+++ b/crates/persimmon-failover/src/group.rs
@@ -10,7 +10,6 @@
 use persimmon_table::{InstanceState, Table};
 use persimmon_types::{
     DaemonId, GroupRecord, Position, Reservation, ServiceId, Term, TermStart, Time, TimelineKind,
-    ranked,
 };
 use rand::Rng;
 
@@ -67,22 +66,37 @@
         table.service(&self.name)
     }
 
-    /// Lets time pass.
+    /// Whether this daemon has a duty for the group.
+    pub(crate) fn holds(&self) -> bool {
+        self.holds
+    }
+
+    /// Whether this daemon looks after all instances of the group.
+    pub(crate) fn keeps(&self) -> bool {
+        self.keeps
+    }
+
+    /// Whether nothing is under way for the group.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.phase == Phase::Idle && !self.writer.is_busy()
+    }
+
+    /// Lets time pass; `paced` are the rules with intervals stretched to this daemon's duties.
     pub(crate) fn tick(
         &mut self,
         cx: &mut Context<'_>,
         rules: &Rules,
-        members: &[DaemonId],
+        paced: &Rules,
+        holders: &[DaemonId],
         is_settled: bool,
     ) {
-        let holders = ranked(&format!("group-{}", self.name), members, GroupRecord::RESERVATIONS);
         let turn = holders.iter().position(|h| *h == cx.shared.me);
         self.keeps = turn == Some(0);
         self.writer.advance(cx);
         let Some(record) = self.record(cx) else {
             self.holds = self.keeps;
             self.turn = 0;
-            self.found(cx, rules, &holders);
+            self.found(cx, rules, holders);
             return;
         };
         let reserved = record.reserved.iter().filter(|r| r.term > record.term);
@@ -96,9 +110,10 @@
         if self.monitor.observe_term(record.term) {
             self.abandoned = 0;
         }
-        self.probe(cx, rules, &record);
+        let pace = if self.monitor.last_failed() { rules } else { paced };
+        self.probe(cx, pace, &record);
         if self.keeps && is_settled {
-            self.keep_record(cx, &record, &holders);
+            self.keep_record(cx, &record, holders);
         }
         self.advance(cx, rules, &record);
     }
--- a/crates/persimmon-failover/src/lib.rs
+++ b/crates/persimmon-failover/src/lib.rs
@@ -9,6 +9,7 @@
 //!   the failure where possible, so that the store may be down during the change.
 
 mod change;
+mod duty;
 mod group;
 mod monitor;
 mod plugin;
--- a/crates/persimmon-failover/src/plugin.rs
+++ b/crates/persimmon-failover/src/plugin.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use linkme::distributed_slice;
 use persimmon_kernel::{
@@ -10,18 +11,29 @@
 };
 use persimmon_types::{DaemonId, Term, Time, TimelineKind};
 
+use crate::duty::Duties;
 use crate::group::Group;
 use crate::rules::Rules;
 
 #[distributed_slice(PLUGINS)]
 static ENTRY: PluginEntry = PluginEntry { order: 30, build: || Box::new(Failover::new()) };
 
+/// How often duties are compared with the live daemons.
+const DUTY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How many instances a group has as a rule, to pace probes.
+const INSTANCES_PER_GROUP: usize = 3;
+
 /// Runs the failover of groups.
 #[derive(Debug)]
 pub struct Failover {
     rules: Rules,
+    /// The groups for which this daemon may have to act.
     groups: BTreeMap<Arc<str>, Group>,
-    members: Vec<DaemonId>,
+    duties: Duties,
+    /// When this daemon's own traffic last raised a suspicion.
+    suspected: BTreeMap<Arc<str>, Time>,
+    next_duties: Time,
     settled_at: Time,
 }
 
@@ -41,26 +53,71 @@
     /// Creates the plug-in with other timing.
     #[must_use]
     pub fn with_rules(rules: Rules) -> Self {
-        Self { rules, groups: BTreeMap::new(), members: Vec::new(), settled_at: Time::ZERO }
+        Self {
+            rules,
+            groups: BTreeMap::new(),
+            duties: Duties::default(),
+            suspected: BTreeMap::new(),
+            next_duties: Time::ZERO,
+            settled_at: Time::ZERO,
+        }
     }
 
     fn tick(&mut self, cx: &mut Context<'_>) {
-        let members = cx.shared.members();
-        if members != self.members {
-            self.members = members;
-            self.settled_at = cx.now + self.rules.settle;
+        if cx.now >= self.next_duties {
+            self.next_duties = cx.now + DUTY_INTERVAL;
+            self.update_duties(cx);
         }
         let is_settled = cx.now >= self.settled_at;
+        let held = self.groups.values().filter(|g| g.holds()).count();
+        let kept = self.groups.values().filter(|g| g.keeps()).count();
+        let number = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let paced = self.rules.with_duties(number(held), number(kept * INSTANCES_PER_GROUP));
+        for (name, group) in &mut self.groups {
+            let holders = self.duties.holders(name);
+            group.tick(cx, &self.rules, &paced, holders, is_settled);
+        }
+    }
+
+    /// Keeps a machine for each group for which this daemon may have to act.
+    fn update_duties(&mut self, cx: &mut Context<'_>) {
         let table = Arc::clone(&cx.shared.in_force.table);
+        let version = cx.shared.in_force.version;
+        if self.duties.update(cx.shared.members(), version, &table) {
+            self.settled_at = cx.now + self.rules.settle;
+        }
         for row in &table.services {
             let name = &row.name;
-            let group =
-                self.groups.entry(Arc::clone(name)).or_insert_with(|| Group::new(Arc::clone(name)));
-            group.tick(cx, &self.rules, &self.members, is_settled);
+            let is_holder = self.duties.holders(name).contains(&cx.shared.me);
+            let record = cx.shared.groups.get(name).map(|g| &g.record);
+            let is_reserved = record.is_some_and(|r| r.reservation(&cx.shared.me).is_some());
+            if is_holder || is_reserved {
+                let group = Group::new(Arc::clone(name));
+                self.groups.entry(Arc::clone(name)).or_insert(group);
+            } else if self.groups.get(name).is_some_and(Group::is_idle) {
+                self.groups.remove(name);
+            }
         }
         self.groups.retain(|name, _| table.service(name).is_some());
     }
 
+    /// Has a primary probed at once, here or by the holders of its group.
+    fn suspect(&mut self, cx: &mut Context<'_>, service: &Arc<str>, term: Term) {
+        let last = self.suspected.entry(Arc::clone(service)).or_default();
+        if cx.now < *last + self.rules.probe_interval {
+            return;
+        }
+        *last = cx.now;
+        if let Some(group) = self.groups.get_mut(service) {
+            group.hurry(cx, term);
+            return;
+        }
+        for holder in self.duties.holders(service) {
+            let service = Arc::clone(service);
+            cx.send(holder, PeerMessage::AskSuspicion { service, term });
+        }
+    }
+
     fn probed(
         &mut self,
         cx: &mut Context<'_>,
@@ -177,11 +234,7 @@
                 self.ordered(cx, instance, *term, *outcome, true);
             }
             Event::Peer { from, message } => self.peer(cx, from, message),
-            Event::TrafficSuspects { service, term } => {
-                if let Some(group) = self.groups.get_mut(service) {
-                    group.hurry(cx, *term);
-                }
-            }
+            Event::TrafficSuspects { service, term } => self.suspect(cx, service, *term),
             Event::TermSeen { service, term } if *term > cx.shared.term(service) => {
                 cx.act(Action::StoreRead {
                     request: RequestId(0),
--- a/crates/persimmon-failover/src/rules.rs
+++ b/crates/persimmon-failover/src/rules.rs
@@ -23,6 +23,9 @@
 pub struct Rules {
     /// How often a group's holders probe its primary.
     pub probe_interval: Duration,
+    /// How many probes a second a daemon sends at most while nothing fails; the intervals stretch
+    /// with the number of groups for which it has a duty.
+    pub probes_per_second: u32,
     /// How often the first holder looks at all instances of a group.
     pub survey_interval: Duration,
     /// How many refused probes in a row raise a suspicion.
@@ -59,6 +62,7 @@
     pub fn new() -> Self {
         Self {
             probe_interval: Duration::from_millis(200),
+            probes_per_second: 4,
             survey_interval: Duration::from_millis(1_000),
             refused_probes: 2,
             silent_probes: 3,
@@ -76,6 +80,18 @@
         }
     }
 
+    /// The same timing for a daemon that has a duty for so many groups.
+    ///
+    /// Half of the probes are for primaries, the other half for the instances of kept groups. A
+    /// probe that failed is repeated at the original interval.
+    #[must_use]
+    pub fn with_duties(mut self, held: u32, kept_instances: u32) -> Self {
+        let budget = Duration::from_secs(2) / self.probes_per_second;
+        self.probe_interval = self.probe_interval.max(budget * held / 2);
+        self.survey_interval = self.survey_interval.max(budget * kept_instances);
+        self
+    }
+
     /// The same timing with one mechanism left out.
     #[must_use]
     pub fn with_omission(mut self, omit: Omission) -> Self {
--- a/crates/persimmon-lab/examples/lab.rs
+++ b/crates/persimmon-lab/examples/lab.rs
@@ -27,6 +27,8 @@
     Demo(DemoArguments),
     /// run an experiment on real daemons
     Bench(BenchOptions),
+    /// measure what control costs against the number of daemons and databases
+    Slope(SlopeOptions),
     /// run the stand-in of the platform
     Platform(PlatformArguments),
     /// run the stand-in of one instance
@@ -81,6 +83,15 @@
     json: bool,
 }
 
+#[derive(Debug, Options)]
+struct SlopeOptions {
+    /// print this help and exit
+    help: bool,
+    /// print JSON objects, one a line
+    #[options(no_short)]
+    json: bool,
+}
+
 #[derive(Debug, Options)]
 struct PlatformArguments {
     /// print this help and exit
@@ -130,6 +141,7 @@
     let result = match args.command {
         Some(Subcommand::Demo(args)) => demo(&args),
         Some(Subcommand::Bench(args)) => run_bench(&args),
+        Some(Subcommand::Slope(_)) => run_slope(),
         Some(Subcommand::Platform(args)) => run_platform(&args),
         Some(Subcommand::Instance(args)) => run_instance(&args),
         None => {
@@ -203,11 +215,27 @@
     }
 }
 
+/// The sizes: daemons against databases, up to the size that the users expect.
+const SLOPE_SIZES: [(usize, usize); 7] =
+    [(21, 100), (210, 100), (2_100, 100), (21, 1_000), (21, 10_000), (310, 2_000), (3_100, 20_000)];
+
+fn run_slope() -> io::Result<()> {
+    for (daemons, databases) in SLOPE_SIZES {
+        print_line(&serde_json::to_value(bench::measure(daemons, databases))?)?;
+    }
+    Ok(())
+}
+
 /// Builds the daemon beside this program, which an alias of `cargo run` does not.
 fn build_daemon() -> io::Result<()> {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
     let mut command = Command::new(cargo);
     command.args(["build", "--quiet", "--release", "--package", "persimmond"]);
+    // Variables that describe this package make build scripts of dependencies run again.
+    for (name, _) in std::env::vars().filter(|(name, _)| name.starts_with("CARGO_PKG_")) {
+        command.env_remove(name);
+    }
+    command.env_remove("CARGO_MANIFEST_DIR").env_remove("CARGO_MANIFEST_PATH");
     if command.status()?.success() {
         return Ok(());
     }
--- a/crates/persimmon-lab/src/bench/mod.rs
+++ b/crates/persimmon-lab/src/bench/mod.rs
@@ -3,7 +3,9 @@
 mod load;
 mod measure;
 mod scenario;
+mod slope;
 
 pub use load::{Load, LoadResult, Mix};
 pub use measure::{ControlCost, control_cost};
 pub use scenario::{BenchArguments, Scenario, run};
+pub use slope::{SlopePoint, measure};
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -15,6 +15,11 @@
 pub mod proxy;
 pub mod writers;
 
+// The slopes run a kernel with every plug-in that the daemon has.
+use persimmon_failover as _;
+use persimmon_member as _;
+use persimmon_rollout as _;
+
 pub use cluster::{Cluster, ClusterConfig, wait_until};
 pub use deployment::Deployment;
 pub use history::{History, Told, Violation};
--- a/crates/persimmon-member/src/plugin.rs
+++ b/crates/persimmon-member/src/plugin.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use linkme::distributed_slice;
-use persimmon_kernel::{
-    Context, Event, HostSeen, PLUGINS, Peer, PeerMessage, Plugin, PluginEntry, RELAY_FANOUT,
-};
+use persimmon_kernel::{Context, Event, HostSeen, PLUGINS, Peer, PeerMessage, Plugin, PluginEntry};
 use persimmon_types::{DaemonId, Time, TimelineKind};
 
 use crate::watch::{decide_cut_off, decide_watch};
@@ -14,9 +12,13 @@
 #[distributed_slice(PLUGINS)]
 static ENTRY: PluginEntry = PluginEntry { order: 10, build: || Box::new(Membership::new()) };
 
-/// How often a daemon sends heartbeats, each time to a few of its peers.
+/// How often a daemon sends a heartbeat, each time to the next of its peers; every peer then hears
+/// one such heartbeat in this time on average, whatever their number.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a daemon weighs whether it watches the store and whether it is cut off.
+const DECISION_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How many deliveries in a row must fail before a daemon gives evidence against a peer.
 const FAILED_DELIVERIES: u32 = 2;
 
@@ -42,6 +44,7 @@
     evidence: BTreeMap<DaemonId, Evidence>,
     listed: Vec<DaemonId>,
     next_heartbeat: Time,
+    next_decision: Time,
     cursor: usize,
     watching: bool,
 }
@@ -83,10 +86,11 @@
         self.next_heartbeat = cx.now + HEARTBEAT_INTERVAL;
         let peers: Vec<DaemonId> = cx.shared.peers.keys().cloned().collect();
         let message = heartbeat(cx, true);
-        for _ in 0..RELAY_FANOUT.min(peers.len()) {
-            self.cursor = (self.cursor + 1) % peers.len();
-            cx.send(&peers[self.cursor], message.clone());
+        if peers.is_empty() {
+            return;
         }
+        self.cursor = (self.cursor + 1) % peers.len();
+        cx.send(&peers[self.cursor], message);
     }
 
     fn hear(&mut self, cx: &mut Context<'_>, from: &DaemonId, message: &PeerMessage) {
@@ -117,7 +121,12 @@
             peer.alive = true;
             cx.record(TimelineKind::PeerChanged { peer: from.clone(), alive: true });
         }
-        if let PeerMessage::Unreachable { peer } = message {
+        if let PeerMessage::Unreachable { peer } = message
+            && cx.shared.peers.get(peer).is_some_and(|p| p.alive)
+        {
+            // See for oneself at once instead of at the peer's next turn.
+            let question = heartbeat(cx, true);
+            cx.send(peer, question);
             self.testify(cx, from.clone(), peer);
         }
     }
@@ -126,6 +135,8 @@
         let evidence = self.evidence.entry(peer.clone()).or_default();
         evidence.failed += 1;
         if evidence.failed < FAILED_DELIVERIES {
+            let message = heartbeat(cx, true);
+            cx.send(peer, message);
             return;
         }
         let me = cx.shared.me.clone();
@@ -181,8 +192,11 @@
         match event {
             Event::Tick => {
                 self.beat(cx);
-                decide_watch(cx, &mut self.watching);
-                decide_cut_off(cx);
+                if cx.now >= self.next_decision {
+                    self.next_decision = cx.now + DECISION_INTERVAL;
+                    decide_watch(cx, &mut self.watching);
+                    decide_cut_off(cx);
+                }
             }
             Event::Hosts(hosts) => self.take_in_hosts(cx, hosts),
             Event::StoreHeard => cx.shared.store_heard = cx.now,
--- a/crates/persimmon-request/src/classify.rs
+++ b/crates/persimmon-request/src/classify.rs
@@ -111,9 +111,41 @@
 const PINNING_WORDS: &[&str] =
     &["set", "reset", "listen", "unlisten", "prepare", "deallocate", "discard", "load", "declare"];
 
+/// Functions that change the state of their connection.
+const PINNING_FUNCTIONS: &[&str] = &["set_config"];
+
 /// Classifies the text of one message.
 #[must_use]
 pub fn classify(sql: &str) -> Class {
+    match classify_first(sql) {
+        Class::Write if pins(sql) => Class::Pin,
+        class => class,
+    }
+}
+
+/// Whether any statement of a message changes the state of its connection.
+fn pins(sql: &str) -> bool {
+    let mut at_start = true;
+    let mut scanner = Scanner::new(sql);
+    while let Some(piece) = scanner.next() {
+        if let Piece::Word(word) = piece {
+            let keeps = is_word(scanner.clone().next(), &["transaction", "local"]);
+            let begins_pinning = at_start && is_any(word, PINNING_WORDS) && !keeps;
+            if begins_pinning || is_any(word, &["temp", "temporary"]) || calls_pinning(word) {
+                return true;
+            }
+        }
+        at_start = piece == Piece::Mark(b';');
+    }
+    false
+}
+
+fn calls_pinning(word: &str) -> bool {
+    is_any(word, PINNING_FUNCTIONS) || word.to_ascii_lowercase().starts_with("pg_advisory")
+}
+
+/// Classifies a message by its first statement.
+fn classify_first(sql: &str) -> Class {
     let mut scanner = Scanner::new(sql);
     let first = match scanner.next() {
         None => return Class::Empty,
@@ -130,7 +162,6 @@
         "copy" => Class::Copy,
         "set" if is_own_setting(scanner.clone()) => alone(scanner, |_| Class::Setting),
         "set" if is_word(scanner.clone().next(), &["transaction", "local"]) => Class::Write,
-        "create" if is_word(scanner.clone().next(), &["temp", "temporary"]) => Class::Pin,
         word if PINNING_WORDS.contains(&word) => Class::Pin,
         _ => Class::Write,
     }
@@ -182,9 +213,7 @@
             Piece::Unclear => return Class::Write,
             Piece::Mark(b';') if pieces.peek().is_some() => return Class::Write,
             Piece::Word(word) if is_any(word, WRITING_WORDS) => return Class::Write,
-            Piece::Word(word) if word.to_ascii_lowercase().starts_with("pg_advisory") => {
-                return Class::Pin;
-            }
+            Piece::Word(word) if calls_pinning(word) => return Class::Pin,
             Piece::Mark(b'(') if !may_open(previous) => return Class::Write,
             _ => {}
         }
--- a/crates/persimmon-request/src/exchange.rs
+++ b/crates/persimmon-request/src/exchange.rs
@@ -369,7 +369,7 @@
         if env.knowledge.is_proven(instance, env.now, starts, floor, max_age) {
             return self.send(instance);
         }
-        env.knowledge.found_behind(instance, env.now);
+        env.knowledge.found_behind(instance, env.now, floor);
         self.needs_primary = true;
         self.choose(env, session)
     }
--- a/crates/persimmon-request/src/knowledge.rs
+++ b/crates/persimmon-request/src/knowledge.rs
@@ -30,6 +30,8 @@
     outstanding: u32,
     failed_until: Time,
     next_check: Time,
+    /// The lowest floor that the instance was lately found not to show.
+    behind: Position,
 }
 
 /// What is known of all instances.
@@ -80,9 +82,12 @@
         entry.failed_until = Time::ZERO;
     }
 
-    /// Notes that an instance was found behind, so that it is not asked again at once.
-    pub fn found_behind(&mut self, id: InstanceId, now: Time) {
+    /// Notes that an instance was found behind a floor, so that it is not asked again at once for
+    /// this floor or a later one.
+    pub fn found_behind(&mut self, id: InstanceId, now: Time, floor: Position) {
         let entry = self.entry(id);
+        let is_paused = entry.next_check > now;
+        entry.behind = if is_paused { entry.behind.min(floor) } else { floor };
         let age = entry.proof.map(|p| p.age).unwrap_or_default();
         entry.next_check = now + (age / 4).clamp(MIN_CHECK_PAUSE, MAX_CHECK_PAUSE);
     }
@@ -133,16 +138,22 @@
         starts.reaches(proof.applied, floor) && proof.age + now.since(proof.at) <= max_age
     }
 
-    /// Whether it is worth asking an instance if it shows a floor that rose at `floor_at`.
+    /// Whether it is worth asking an instance if it shows `floor`, which rose at `floor_at`.
     ///
     /// An instance that was a given time behind is expected to show a write after that time; until
     /// then asking costs a round trip and ends at the primary anyway.
     #[must_use]
-    pub fn is_worth_asking(&self, id: InstanceId, now: Time, floor_at: Time) -> bool {
+    pub fn is_worth_asking(
+        &self,
+        id: InstanceId,
+        now: Time,
+        floor: Position,
+        floor_at: Time,
+    ) -> bool {
         let Some(entry) = self.get(id) else {
             return true;
         };
-        if entry.next_check > now {
+        if entry.next_check > now && floor >= entry.behind {
             return false;
         }
         let expected = entry.proof.map(|p| p.age).unwrap_or_default();
--- a/crates/persimmon-request/src/route.rs
+++ b/crates/persimmon-request/src/route.rs
@@ -55,7 +55,7 @@
         }
         if knowledge.is_proven(*id, now, &group.starts, floor, max_age) {
             proven.push(*id);
-        } else if knowledge.is_worth_asking(*id, now, session.floor_at()) {
+        } else if knowledge.is_worth_asking(*id, now, floor, session.floor_at()) {
             askable.push(*id);
         }
     }
--- a/crates/persimmon-request/src/view.rs
+++ b/crates/persimmon-request/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use persimmon_kernel::Shared;
 use persimmon_table::Table;
 use persimmon_types::{InstanceId, ServiceId, Term, TermStarts};
 
@@ -34,6 +35,32 @@
 }
 
 impl View {
+    /// The snapshot of a control thread's state.
+    #[must_use]
+    pub fn of(shared: &Shared, revision: u64) -> Self {
+        let table = Arc::clone(&shared.in_force.table);
+        let mut groups = Vec::with_capacity(table.services.len());
+        for service in &table.services {
+            let Some(group) = shared.groups.get(&service.name) else {
+                groups.push(GroupView::default());
+                continue;
+            };
+            groups.push(GroupView {
+                term: group.record.term,
+                primary: table.instance(&group.record.primary),
+                starts: group.record.starts.clone(),
+            });
+        }
+        Self {
+            revision,
+            version: shared.in_force.version,
+            table,
+            groups,
+            cut_off: shared.cut_off,
+            draining: shared.draining,
+        }
+    }
+
     /// The group of a service.
     #[must_use]
     pub fn group(&self, service: ServiceId) -> Option<&GroupView> {
--- a/crates/persimmon-table/src/table.rs
+++ b/crates/persimmon-table/src/table.rs
@@ -1,6 +1,6 @@
 //! The checked table and its parser.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +33,8 @@
     pub instances: Vec<InstanceRow>,
     /// The kinds of work.
     pub kinds: Vec<KindRow>,
+    /// Names of rows by section, so that a table of many rows is read in linear time.
+    index: HashMap<(&'static str, Arc<str>), usize>,
     members: Vec<Vec<InstanceId>>,
     default_kind: usize,
 }
@@ -73,10 +75,12 @@
         let mut row =
             RowReader { line: raw.line, columns: &raw.columns, cells: &raw.cells, problems };
         let name = row.name("name");
-        if self.names(&raw.section).any(|n| *n == name) {
+        let section = section_of(&raw.section);
+        let next = self.count(section);
+        if self.index.insert((section, Arc::clone(&name)), next).is_some() {
             row.problem("name", "a name that stands once in its section");
         }
-        match raw.section.as_str() {
+        match section {
             "place" => self.places.push(PlaceRow { name, region: row.name("region") }),
             "service" => self.services.push(read_service(name, &mut row)),
             "instance" => {
@@ -93,7 +97,7 @@
             row.problem("service", "the name of a row of section `service`");
         }
         let place_name = row.text("place");
-        let place = self.places.iter().position(|p| *p.name == *place_name);
+        let place = self.find("place", &place_name);
         if place.is_none() {
             row.problem("place", "the name of a row of section `place`");
         }
@@ -112,34 +116,37 @@
         }
     }
 
-    fn names(&self, section: &str) -> Box<dyn Iterator<Item = &Arc<str>> + '_> {
+    fn count(&self, section: &str) -> usize {
         match section {
-            "place" => Box::new(self.places.iter().map(|r| &r.name)),
-            "service" => Box::new(self.services.iter().map(|r| &r.name)),
-            "instance" => Box::new(self.instances.iter().map(|r| &r.name)),
-            _ => Box::new(self.kinds.iter().map(|r| &r.name)),
+            "place" => self.places.len(),
+            "service" => self.services.len(),
+            "instance" => self.instances.len(),
+            _ => self.kinds.len(),
         }
     }
 
+    fn find(&self, section: &'static str, name: &str) -> Option<usize> {
+        self.index.get(&(section, Arc::from(name))).copied()
+    }
+
     fn index_members(&mut self) {
         self.members = vec![Vec::new(); self.services.len()];
         for (index, instance) in self.instances.iter().enumerate() {
             self.members[instance.service.index()].push(InstanceId::new(index));
         }
-        self.default_kind =
-            self.kinds.iter().position(|k| &*k.name == DEFAULT_KIND).unwrap_or_default();
+        self.default_kind = self.find("kind", DEFAULT_KIND).unwrap_or_default();
     }
 
     /// The service with a name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<ServiceId> {
-        self.services.iter().position(|s| &*s.name == name).map(ServiceId::new)
+        self.find("service", name).map(ServiceId::new)
     }
 
     /// The instance with a name.
     #[must_use]
     pub fn instance(&self, name: &str) -> Option<InstanceId> {
-        self.instances.iter().position(|i| &*i.name == name).map(InstanceId::new)
+        self.find("instance", name).map(InstanceId::new)
     }
 
     /// The instances of a service.
@@ -175,8 +182,7 @@
     /// The kind with a name, or the default kind.
     #[must_use]
     pub fn kind(&self, name: &str) -> KindId {
-        let named = self.kinds.iter().position(|k| &*k.name == name);
-        KindId::new(named.unwrap_or(self.default_kind))
+        KindId::new(self.find("kind", name).unwrap_or(self.default_kind))
     }
 }
 
@@ -205,18 +211,22 @@
 }
 
 fn check_whole(table: &Table, problems: &mut Vec<Problem>) {
-    if !table.kinds.iter().any(|k| &*k.name == DEFAULT_KIND) {
+    if table.find("kind", DEFAULT_KIND).is_none() {
         problems.push(Problem::new(1, "name", "", "a row `kind,default`"));
     }
+    let served: HashSet<ServiceId> = table.instances.iter().map(|i| i.service).collect();
     for (index, service) in table.services.iter().enumerate() {
-        let id = ServiceId::new(index);
-        if !table.instances.iter().any(|i| i.service == id) {
+        if !served.contains(&ServiceId::new(index)) {
             let allowed = "a service that at least one row of section `instance` names";
             problems.push(Problem::new(1, "name", &service.name, allowed));
         }
     }
 }
 
+fn section_of(name: &str) -> &'static str {
+    SECTIONS.into_iter().find(|section| *section == name).unwrap_or("kind")
+}
+
 fn columns_of(section: &str) -> &'static [&'static str] {
     match section {
         "place" => PLACE_COLUMNS,
--- /dev/null
+++ b/crates/persimmon-types/tests/positions.rs
@@ -0,0 +1,71 @@
+//! How positions of different terms compare, and tokens.
+
+use persimmon_types::{
+    DaemonId, GroupRecord, Lsn, Position, Term, TermStart, TermStarts, Token, rank, ranked,
+};
+
+fn at(term: u64, lsn: u64) -> Position {
+    Position::new(Term(term), Lsn(lsn))
+}
+
+fn starts() -> TermStarts {
+    let mut starts = TermStarts::new();
+    starts.push(TermStart { term: Term(2), inherited: Lsn(100) });
+    starts.push(TermStart { term: Term(3), inherited: Lsn(150) });
+    starts
+}
+
+#[test]
+fn a_floor_holds_over_changes_of_primary_and_does_not_make_replicas_stale_for_ever() {
+    let starts = starts();
+    // Within a term numbers decide.
+    assert!(starts.reaches(at(1, 50), at(1, 50)));
+    assert!(!starts.reaches(at(1, 49), at(1, 50)));
+    // What was acknowledged in an older term is part of the newer one at the same number.
+    assert!(starts.reaches(at(2, 101), at(1, 90)));
+    assert!(!starts.reaches(at(3, 89), at(1, 90)));
+    // A number of an older term proves nothing about a newer one.
+    assert!(!starts.reaches(at(1, 500), at(2, 120)));
+    // Entries beyond a term's start were lost and are not waited for.
+    assert!(starts.reaches(at(2, 100), at(1, 130)));
+    assert!(starts.reaches(at(3, 150), at(2, 170)));
+}
+
+#[test]
+fn a_token_reads_back_and_nonsense_is_refused() {
+    let token = Token(at(3, 17));
+    assert_eq!(token.to_string().parse(), Ok(token));
+    for nonsense in ["", "p1", "p1-3", "p1-x-1", "p2-1-1", "p1-1-1-1"] {
+        assert!(nonsense.parse::<Token>().is_err(), "{nonsense}");
+    }
+}
+
+#[test]
+fn a_term_number_is_given_out_once() {
+    // Arrange
+    let daemons: Vec<DaemonId> = (0..4).map(|n| DaemonId::new(&format!("d{n}"))).collect();
+    let mut record = GroupRecord::new("s", "i0");
+    record.reserve(&daemons[..3]);
+    let before = record.clone();
+
+    // Act: one holder is replaced by another.
+    record.reserve(&daemons[1..]);
+
+    // Assert
+    for kept in &daemons[1..3] {
+        assert_eq!(record.reservation(kept), before.reservation(kept));
+    }
+    let fresh = record.reservation(&daemons[3]).unwrap().term;
+    assert!(before.reserved.iter().all(|r| r.term != fresh));
+}
+
+#[test]
+fn removing_a_candidate_changes_the_order_of_no_others() {
+    let daemons: Vec<DaemonId> = (0..20).map(|n| DaemonId::new(&format!("d{n}"))).collect();
+    let order = ranked("key", &daemons, 20);
+    let without: Vec<DaemonId> = daemons.iter().filter(|d| **d != order[3]).cloned().collect();
+    let mut expected = order.clone();
+    expected.remove(3);
+    assert_eq!(ranked("key", &without, 19), expected);
+    assert_eq!(rank("key", &daemons, &order[5]), 5);
+}
--- a/crates/persimmond/src/traffic/request.rs
+++ b/crates/persimmond/src/traffic/request.rs
@@ -169,7 +169,11 @@
     async fn confirm(&mut self, primary: InstanceId, term: Term) -> Input {
         self.lease = None;
         let worker = Rc::clone(&self.caller.worker);
-        match confirm(&worker, primary, term, self.request.wait_until).await {
+        let confirmed = tokio::select! {
+            confirmed = confirm(&worker, primary, term, self.request.wait_until) => confirmed,
+            () = superseded(&worker, self.request.service, Some(term)) => None,
+        };
+        match confirmed {
             Some(position) => Input::Confirmed(position),
             None => {
                 worker.suspect(&worker.view(), self.request.service, term);
@@ -190,6 +194,7 @@
         let until = self.request.wait_until;
         let acquired = tokio::select! {
             acquired = worker.pools.acquire(&view.table, instance, term, until) => acquired,
+            () = superseded(&worker, self.request.service, term) => return Input::ConnectFailed,
             () = cancel.wake.notified() => return Input::Cancelled,
         };
         match acquired {
