--- a/crates/persimmon-failover/src/monitor.rs
+++ b/crates/persimmon-failover/src/monitor.rs
@@ -20,6 +20,8 @@
     /// The last status of each instance.
     pub(crate) statuses: BTreeMap<Arc<str>, Status>,
     term: Term,
+    /// When the term was first observed.
+    since: Time,
     refused: u32,
     silent: u32,
     unfit: u32,
@@ -28,11 +30,12 @@
 
 impl Monitor {
     /// Forgets evidence of earlier terms; says whether the term is new.
-    pub(crate) fn observe_term(&mut self, term: Term) -> bool {
+    pub(crate) fn observe_term(&mut self, now: Time, term: Term) -> bool {
         if self.term == term {
             return false;
         }
         self.term = term;
+        self.since = now;
         self.clear();
         true
     }
@@ -45,8 +48,13 @@
     }
 
     /// Takes in a probe of the primary.
-    pub(crate) fn take_in(&mut self, rules: &Rules, outcome: &Result<Status, ProbeFailure>) {
-        let healthy = outcome.as_ref().is_ok_and(|status| self.is_fit(rules, status));
+    pub(crate) fn take_in(
+        &mut self,
+        now: Time,
+        rules: &Rules,
+        outcome: &Result<Status, ProbeFailure>,
+    ) {
+        let healthy = outcome.as_ref().is_ok_and(|status| self.is_fit(now, rules, status));
         if healthy {
             self.clear();
             return;
@@ -60,12 +68,16 @@
     }
 
     /// Whether an instance can acknowledge writes in the term in force.
-    fn is_fit(&self, rules: &Rules, status: &Status) -> bool {
+    ///
+    /// A primary that was promoted just now has no followers yet; it is given as long to find them
+    /// as any primary is to miss them.
+    fn is_fit(&self, now: Time, rules: &Rules, status: &Status) -> bool {
         let limit = u64::try_from(rules.majority_silence.as_millis()).unwrap_or(u64::MAX);
+        let is_new = now.since(self.since) <= rules.majority_silence;
         status.role == Role::Primary
             && status.term >= self.term
             && status.sealed <= status.term
-            && status.majority_age_ms <= limit
+            && (is_new || status.majority_age_ms <= limit)
     }
 
     /// Why the primary is suspected, if it is.
--- a/crates/persimmon-failover/src/plugin.rs
+++ b/crates/persimmon-failover/src/plugin.rs
@@ -11,7 +11,7 @@
 };
 use persimmon_types::{DaemonId, Term, Time, TimelineKind};
 
-use crate::duty::Duties;
+use crate::duty::{Duties, DutyChange};
 use crate::group::Group;
 use crate::rules::Rules;
 
@@ -21,6 +21,10 @@
 /// How often duties are compared with the live daemons.
 const DUTY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How often all groups are searched for reservations of this daemon; each search costs time in
+/// proportion to the number of groups.
+const SCAN_INTERVAL: Duration = Duration::from_secs(2);
+
 /// How many instances a group has as a rule, to pace probes.
 const INSTANCES_PER_GROUP: usize = 3;
 
@@ -34,6 +38,7 @@
     /// When this daemon's own traffic last raised a suspicion.
     suspected: BTreeMap<Arc<str>, Time>,
     next_duties: Time,
+    next_scan: Time,
     settled_at: Time,
 }
 
@@ -59,6 +64,7 @@
             duties: Duties::default(),
             suspected: BTreeMap::new(),
             next_duties: Time::ZERO,
+            next_scan: Time::ZERO,
             settled_at: Time::ZERO,
         }
     }
@@ -83,9 +89,14 @@
     fn update_duties(&mut self, cx: &mut Context<'_>) {
         let table = Arc::clone(&cx.shared.in_force.table);
         let version = cx.shared.in_force.version;
-        if self.duties.update(cx.shared.members(), version, &table) {
+        let change = self.duties.update(cx.shared.members(), version, &table);
+        if change == DutyChange::Members {
             self.settled_at = cx.now + self.rules.settle;
         }
+        if change == DutyChange::None && cx.now < self.next_scan {
+            return;
+        }
+        self.next_scan = cx.now + SCAN_INTERVAL;
         for row in &table.services {
             let name = &row.name;
             let is_holder = self.duties.holders(name).contains(&cx.shared.me);
@@ -200,6 +211,7 @@
 
 /// Takes in a group's record; a new term is put in force, recorded and passed on to peers.
 pub(crate) fn learn(cx: &mut Context<'_>, seen: &GroupSeen) {
+    let is_change = cx.shared.term(&seen.record.service) > Term(0);
     if !cx.shared.learn(seen) {
         return;
     }
@@ -210,6 +222,10 @@
         primary: Arc::clone(&record.primary),
     });
     cx.publish();
+    if !is_change {
+        // A daemon that starts learns every group; its peers know them already.
+        return;
+    }
     let key = format!("group-{}-{}", record.service, record.term);
     for target in cx.shared.relay_targets(&key) {
         cx.send(&target, PeerMessage::Group(seen.clone()));
--- a/crates/persimmon-failover/src/rules.rs
+++ b/crates/persimmon-failover/src/rules.rs
@@ -68,7 +68,7 @@
             silent_probes: 3,
             majority_silence: Duration::from_millis(1_000),
             opinion_wait: Duration::from_millis(250),
-            stagger: Duration::from_millis(400),
+            stagger: Duration::from_millis(600),
             seal_grace: Duration::from_millis(100),
             resend_after: Duration::from_millis(200),
             phase_limit: Duration::from_millis(1_500),
--- a/crates/persimmond/tests/failover.rs
+++ b/crates/persimmond/tests/failover.rs
@@ -88,6 +88,7 @@
         let frozen = Instant::now();
         cluster.instances[primary].process.signal(Signal::STOP);
         await_writes(&writers.history, WARM_WRITES);
+        let changes = timeline(&cluster, "promoted");
         cluster.instances[primary].process.signal(Signal::CONT);
         await_writes(&writers.history, WARM_WRITES);
 
@@ -100,9 +101,17 @@
         let history = finish(&cluster, writers, 0).await;
         let gap = history.gap_after(frozen).unwrap();
         assert!(gap < GAP_LIMIT, "{gap:?}");
+        assert_eq!(changes, 1, "a primary that was just promoted is not replaced at once");
     });
 }
 
+/// How many events of a kind all daemons have recorded.
+fn timeline(cluster: &Cluster, event: &str) -> usize {
+    let events = cluster.daemons.iter().map(|d| persimmon_lab::http::get(d.admin, "/timeline"));
+    let all = events.flat_map(|e| e.unwrap().as_array().cloned().unwrap_or_default());
+    all.filter(|e| e["event"] == event).count()
+}
+
 #[test]
 fn a_primary_cut_off_from_its_replicas_acknowledges_nothing() {
     // Arrange
