--- a/crates/persimmon-lab/src/bench/slope.rs
+++ b/crates/persimmon-lab/src/bench/slope.rs
@@ -54,6 +54,11 @@
     DaemonId::new(&format!("entry-{index}"))
 }
 
+fn peer_address(index: usize) -> SocketAddr {
+    let [_, _, high, low] = u32::try_from(index).unwrap_or(0).to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 8_602))
+}
+
 fn table(databases: usize, wait_ms: usize) -> String {
     let mut out = String::from(
         "[place],name,region\nplace,p,r\n[service],name,replica_reads,staleness_ms,queue,daemons\n",
@@ -116,8 +121,11 @@
     let kernel = Kernel::new(daemon(0), address, 1);
     let mut bench = Bench { kernel, now: 1_000_000, probes: 0, messages: 0 };
     let hosts = |count: usize| {
-        let hosts =
-            (0..count).map(|index| HostSeen { daemon: daemon(index), address, leaving: false });
+        let hosts = (0..count).map(|index| HostSeen {
+            daemon: daemon(index),
+            address: peer_address(index),
+            leaving: false,
+        });
         Event::Hosts(hosts.collect())
     };
     bench.tell(&hosts(daemons));
@@ -132,7 +140,7 @@
     bench.tick(TICKS);
     (bench.probes, bench.messages) = (0, 0);
     let heartbeat = PeerMessage::Heartbeat {
-        address,
+        address: peer_address(1),
         table: 1,
         terms: bench.kernel.shared().term_sum(),
         store_age_ms: 0,
--- a/crates/persimmon-types/src/rendezvous.rs
+++ b/crates/persimmon-types/src/rendezvous.rs
@@ -14,7 +14,12 @@
 pub fn ranked(key: &str, candidates: &[DaemonId], count: usize) -> Vec<DaemonId> {
     let mut all: Vec<(u64, &DaemonId)> = candidates.iter().map(|c| (weight(key, c), c)).collect();
     all.sort_by(|a, b| b.cmp(a));
-    all.into_iter().take(count).map(|(_, c)| c.clone()).collect()
+    // Collecting would keep the allocation for all candidates behind the few that are returned.
+    let mut first = Vec::with_capacity(count.min(all.len()));
+    for (_, candidate) in all.into_iter().take(count) {
+        first.push(candidate.clone());
+    }
+    first
 }
 
 /// The rank of `me` for `key` among `candidates`; zero is the owner.
--- a/crates/persimmon-types/tests/positions.rs
+++ b/crates/persimmon-types/tests/positions.rs
@@ -68,4 +68,5 @@
     expected.remove(3);
     assert_eq!(ranked("key", &without, 19), expected);
     assert_eq!(rank("key", &daemons, &order[5]), 5);
+    assert!(ranked("key", &daemons, 3).capacity() <= 3, "20,000 groups keep such a list each");
 }
