--- a/crates/persimmon-front/src/logging.rs
+++ b/crates/persimmon-front/src/logging.rs
@@ -22,6 +22,10 @@
 /// Lines that may wait for standard output.
 const QUEUE_LINES: usize = 4_096;
 
+/// The server library says little that matters below warnings.
+pub(crate) const DEFAULT_FILTER: &str = "info,ntex=warn,ntex_io=warn,ntex_rt=warn,\
+    ntex_server=warn,ntex_service=warn,tarpc=warn";
+
 /// Keeps the logging thread; what waits is written when it is dropped.
 #[derive(Debug)]
 pub struct LogGuard {
@@ -36,7 +40,7 @@
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES);
     let (writer, worker) = builder.finish(std::io::stdout());
     let dropped = writer.error_counter();
-    let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let builder = tracing_subscriber::fmt().json().flatten_event(true).with_current_span(false);
     let builder = builder.with_span_list(false).with_target(false);
     builder.with_env_filter(filter).with_writer(writer).init();
--- a/crates/persimmon-front/src/run.rs
+++ b/crates/persimmon-front/src/run.rs
@@ -11,7 +11,7 @@
 
 use crate::control;
 use crate::drain::drain;
-use crate::logging::start_logging;
+use crate::logging::{DEFAULT_FILTER, start_logging};
 use crate::metrics::Metrics;
 use crate::ops::{self, Ops};
 use crate::outside::{Outside, Reload};
@@ -28,7 +28,7 @@
 ///
 /// Returns an error if an address cannot be bound or a thread not started.
 pub fn run(settings: Settings, outside: Outside) -> io::Result<()> {
-    let _logs = start_logging("info");
+    let _logs = start_logging(DEFAULT_FILTER);
     let callers = TcpListener::bind(settings.callers)?;
     let readiness = TcpListener::bind(settings.readiness)?;
     let peers = TcpListener::bind(settings.peers)?;
