--- a/crates/persimmon-front/src/control/duties.rs
+++ b/crates/persimmon-front/src/control/duties.rs
@@ -64,7 +64,7 @@
 
 fn tick(control: &Rc<Control>, running: &mut HashMap<Arc<str>, Rc<Running>>) {
     let now = Clock.now();
-    if control.directory.borrow_mut().tick(now, control.is_store_reachable(now)) {
+    if control.directory.borrow_mut().tick(now, control.is_store_reachable()) {
         control.publish();
     }
     let view = control.view();
--- a/crates/persimmon-front/src/control/follow.rs
+++ b/crates/persimmon-front/src/control/follow.rs
@@ -8,13 +8,9 @@
 
 use crate::control::Control;
 
-/// How long a watch of the table waits at the store. A store that went silent is noticed when the
-/// watch is overdue, so this stays below the three seconds in which a table comes into force.
-const TABLE_WAIT: Duration = Duration::from_millis(2_300);
-
-/// How long a watch of the directory waits: below the time within which an instance that is leaving
-/// must receive nothing more.
-const DIRECTORY_WAIT: Duration = Duration::from_millis(4_000);
+/// How long a watch waits at the store, below the thirty seconds that a store allows. The connection
+/// itself breaks when the store goes silent.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// Pause after a change of the directory, so that changes close together cost one call. A fraction
 /// of the time within which an instance that is leaving must receive nothing more.
@@ -42,21 +38,21 @@
 
 /// Follows the operators' table.
 pub(crate) async fn follow_table(control: Rc<Control>) {
-    follow(control, Kind::Table, TABLE_WAIT, TABLE_PACE).await;
+    follow(control, Kind::Table, TABLE_PACE).await;
 }
 
 /// Follows the instance directory.
 pub(crate) async fn follow_directory(control: Rc<Control>) {
-    follow(control, Kind::Instances, DIRECTORY_WAIT, DIRECTORY_PACE).await;
+    follow(control, Kind::Instances, DIRECTORY_PACE).await;
 }
 
-async fn follow(control: Rc<Control>, kind: Kind, wait: Duration, pace: Duration) {
+async fn follow(control: Rc<Control>, kind: Kind, pace: Duration) {
     let mut backoff = Backoff(0);
     loop {
         let err = match list(&control, kind).await {
             Ok(revision) => {
                 backoff = Backoff(0);
-                watch(&control, kind, revision, wait, pace).await
+                watch(&control, kind, revision, pace).await
             }
             Err(err) => err,
         };
@@ -91,12 +87,11 @@
     control: &Control,
     kind: Kind,
     mut revision: u64,
-    wait: Duration,
     pace: Duration,
 ) -> StoreError {
     let mut failures = Backoff(0);
     loop {
-        match control.platform.store.watch(kind, revision, wait).await {
+        match control.platform.store.watch(kind, revision, WATCH_WAIT).await {
             Ok(changes) => {
                 control.note_store::<StoreError>("watch", None);
                 failures = Backoff(0);
--- a/crates/persimmon-front/src/control/mod.rs
+++ b/crates/persimmon-front/src/control/mod.rs
@@ -13,7 +13,6 @@
 
 use ntex::rt::{DefaultRuntime, System};
 use persimmon_ports::{Catalogue, InstanceProtocol, Table};
-use persimmon_types::{Clock, Time};
 use tokio::sync::{mpsc, watch};
 
 use crate::control::peers::Shelf;
@@ -48,8 +47,8 @@
     pub(crate) table: RefCell<Option<Arc<Table>>>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_directory: Cell<bool>,
-    /// When the store last answered.
-    pub(crate) store_answered_at: Cell<Option<Time>>,
+    /// Whether the store answered the latest call that ended.
+    store_answers: Cell<bool>,
     /// What peers may read.
     pub(crate) shelf: Arc<Shelf>,
     /// Which instances answer this daemon.
@@ -59,10 +58,6 @@
     view: watch::Sender<Arc<View>>,
 }
 
-/// How long ago the store may have answered to count as reachable: a watch that waits is asked
-/// anew this often.
-pub(crate) const STORE_PATIENCE: std::time::Duration = std::time::Duration::from_secs(8);
-
 impl Control {
     /// Publishes a new picture for traffic.
     pub(crate) fn publish(&self) {
@@ -72,7 +67,7 @@
             services: self.directory.borrow().by_service(),
         };
         let instances = self.directory.borrow().entries();
-        let is_current = self.is_store_reachable(Clock.now());
+        let is_current = self.is_store_reachable();
         self.shelf.put(view.table.as_deref(), instances, is_current);
         self.view.send_replace(Arc::new(view));
     }
@@ -97,28 +92,25 @@
     /// Notes whether the store answered a call.
     pub(crate) fn note_store<E: std::fmt::Display>(&self, call: &str, failure: Option<&E>) {
         Metrics::add(&self.metrics.store_calls);
-        let now = Clock.now();
-        let was_reachable = self.is_store_reachable(now);
+        let was_reachable = self.store_answers.replace(failure.is_none());
         match failure {
             None => {
                 if !was_reachable {
                     tracing::info!(call, "the store answers");
                 }
-                self.store_answered_at.set(Some(now));
             }
             Some(err) => {
                 Metrics::add(&self.metrics.store_failures);
                 if was_reachable {
                     tracing::warn!(call, error = %err, "the store does not answer");
                 }
-                self.store_answered_at.set(None);
             }
         }
     }
 
-    /// Whether the store answered lately.
-    pub(crate) fn is_store_reachable(&self, now: Time) -> bool {
-        self.store_answered_at.get().is_some_and(|at| now.since(at) < STORE_PATIENCE)
+    /// Whether the store answered the latest call that ended.
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        self.store_answers.get()
     }
 }
 
@@ -147,7 +139,7 @@
         table: RefCell::default(),
         directory: RefCell::default(),
         has_directory: Cell::new(false),
-        store_answered_at: Cell::new(None),
+        store_answers: Cell::new(false),
         shelf: Arc::default(),
         reach: parts.reach,
         incarnation: rand::random(),
--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -165,8 +165,7 @@
     }
     let mut has_asked = false;
     loop {
-        let now = Clock.now();
-        let is_reachable = control.is_store_reachable(now) && control.has_directory.get();
+        let is_reachable = control.is_store_reachable() && control.has_directory.get();
         if !has_asked || !is_reachable {
             ask_some(&control).await;
             has_asked = true;
--- a/crates/persimmon-front/src/lib.rs
+++ b/crates/persimmon-front/src/lib.rs
@@ -36,4 +36,5 @@
 pub use reach::Reach;
 pub use run::run;
 pub use settings::Settings;
+pub use socket::connect;
 pub use view::{Listed, View};
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -30,9 +30,6 @@
 /// How long a caller of `acquire` waits for a connection to be given back before it looks again.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 
-/// Idle connections beyond the number kept are closed after this long.
-const SURPLUS_IDLE: Duration = Duration::from_millis(1_500);
-
 /// Any connection idle for this long is closed; the instance itself closes them after a minute.
 const IDLE_LIMIT: Duration = Duration::from_secs(25);
 
@@ -122,6 +119,11 @@
         hosts.get(id).map_or_else(|| (Load::new(), false), |h| (h.load.clone(), !h.idle.is_empty()))
     }
 
+    /// Whether a connection is idle, so that asking the instance takes none from other daemons.
+    pub(crate) fn has_idle(&self, id: &str) -> bool {
+        self.hosts.borrow().get(id).is_some_and(|h| h.idle.iter().any(Link::is_at_rest))
+    }
+
     fn give_back(&self, id: &Arc<str>, link: Link) {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(id) else {
@@ -260,12 +262,13 @@
                 continue;
             }
             let limit = host.keep.limit();
+            let surplus_idle = host.keep.surplus_idle(now);
             // The most lately used stand at the end.
             let surplus = host.idle.len().saturating_sub(limit);
             let mut index = 0;
             host.idle.retain(|link| {
                 let idle_for = now.since(link.used_at);
-                let is_surplus = index < surplus && idle_for > SURPLUS_IDLE;
+                let is_surplus = index < surplus && idle_for > surplus_idle;
                 index += 1;
                 link.is_at_rest() && !is_surplus && idle_for < IDLE_LIMIT
             });
--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -273,11 +273,14 @@
         drop(sampling);
     }
 
-    /// Samples the primary's log in the background if later reads will need it.
+    /// Samples the primary's log in the background if later reads will need it and a connection
+    /// is idle; a read without a sample takes one itself.
     pub(crate) fn refresh(self: &Rc<Self>, service: &Arc<str>, max_age: Duration) {
         let now = Clock.now();
+        let leader = self.believed_leader(service);
+        let has_idle = leader.is_some_and(|l| self.pool.has_idle(&l.id));
         let is_due = self.leadership(service, |l| {
-            let is_due = !l.is_sampling && l.samples.is_due(now, max_age);
+            let is_due = has_idle && !l.is_sampling && l.samples.is_due(now, max_age);
             l.is_sampling |= is_due;
             is_due
         });
--- a/crates/persimmon-front/src/socket.rs
+++ b/crates/persimmon-front/src/socket.rs
@@ -1,4 +1,5 @@
-//! Sockets that notice a silent peer.
+//! Sockets that notice a silent peer: bytes that stay unacknowledged, or questions without an
+//! answer, break the connection.
 
 use std::io;
 use std::net::SocketAddr;
@@ -12,9 +13,12 @@
 /// How long bytes may stay without an acknowledgement before the connection counts as broken.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// How long a connection may rest before its peer is asked for a sign of life, and the pause
-/// between questions: a connection that went silent is found before a caller meets it.
-const KEEPALIVE: Duration = Duration::from_secs(2);
+/// How long a connection may rest before its peer is asked for a sign of life, so that a connection
+/// that went silent is found before a caller meets it.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// The pause between two questions.
+const KEEPALIVE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// How many questions may stay without an answer.
 const KEEPALIVE_RETRIES: u32 = 2;
@@ -24,7 +28,7 @@
 /// # Errors
 ///
 /// Returns an error if nobody accepts the connection in time.
-pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Io> {
+pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Io> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(limit, connecting)
         .await
@@ -44,7 +48,7 @@
     if is_watched {
         let keepalive = TcpKeepalive::new()
             .with_time(KEEPALIVE)
-            .with_interval(Duration::from_secs(1))
+            .with_interval(KEEPALIVE_PAUSE)
             .with_retries(KEEPALIVE_RETRIES);
         socket.set_tcp_keepalive(&keepalive)?;
     }
--- a/crates/persimmon-front/src/traffic.rs
+++ b/crates/persimmon-front/src/traffic.rs
@@ -24,7 +24,7 @@
 use crate::view::View;
 
 /// How often idle connections are looked over.
-const SWEEP_EVERY: Duration = Duration::from_millis(1_000);
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
 /// Connections that an instance is taken to accept while the table says nothing of its service.
 const UNKNOWN_CAP: u32 = 8;
--- a/crates/persimmon-place/src/lib.rs
+++ b/crates/persimmon-place/src/lib.rs
@@ -11,7 +11,7 @@
 mod placing;
 mod retry;
 
-pub use connections::{Keep, MIN_KEPT};
+pub use connections::Keep;
 pub use freshness::{Sample, Samples};
 pub use placing::{Candidate, Load, choose};
 pub use retry::{Attempt, Failure, Next, after_failure};
