Daemons share samples of primaries and size their idle connections by the fleet

Ruled out: more idle time (worse: refusals grow), a probe of the primary for each read. Change: idle connections kept are the daemon's share of half the cap; where that is less than one, two daemons a service sample for all, and peers ask them. The age counts from before the question.

--- a/crates/persimmon-front/src/control/follow.rs
+++ b/crates/persimmon-front/src/control/follow.rs
@@ -14,10 +14,11 @@
 
 /// Pause after a change of the directory, so that changes close together cost one call. A fraction
 /// of the time within which an instance that is leaving must receive nothing more.
-const DIRECTORY_PACE: Duration = Duration::from_millis(200);
+const DIRECTORY_PACE: Duration = Duration::from_millis(1_000);
 
-/// Pause after a change of the table; a storm of changes costs a few calls a second.
-const TABLE_PACE: Duration = Duration::from_millis(200);
+/// Pause after a change of the table: a fraction of the time in which one comes into force, so that
+/// a storm of changes costs about one call a second.
+const TABLE_PACE: Duration = Duration::from_millis(700);
 
 /// The first pause after a call that failed; it doubles, and is randomised.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
--- a/crates/persimmon-front/src/control/mod.rs
+++ b/crates/persimmon-front/src/control/mod.rs
@@ -19,7 +19,9 @@
 use crate::directory::Directory;
 use crate::metrics::Metrics;
 use crate::outside::{Connect, Platform};
+use crate::peer_list::PeerList;
 use crate::reach::Reach;
+use crate::sampling::SampleBoard;
 use crate::settings::Settings;
 use crate::traffic::Suspicion;
 use crate::view::View;
@@ -35,6 +37,8 @@
     pub(crate) suspicions: mpsc::Receiver<Suspicion>,
     pub(crate) peers: StdListener,
     pub(crate) reach: Arc<Reach>,
+    pub(crate) peer_list: Arc<PeerList>,
+    pub(crate) samples: Arc<SampleBoard>,
 }
 
 /// The state of the control thread.
@@ -53,6 +57,10 @@
     pub(crate) shelf: Arc<Shelf>,
     /// Which instances answer this daemon.
     pub(crate) reach: Arc<Reach>,
+    /// The daemons that were heard of.
+    pub(crate) peers: Arc<PeerList>,
+    /// Samples that peers may ask for.
+    pub(crate) samples: Arc<SampleBoard>,
     /// Tells two processes of one name apart.
     pub(crate) incarnation: u64,
     view: watch::Sender<Arc<View>>,
@@ -142,6 +150,8 @@
         store_answers: Cell::new(false),
         shelf: Arc::default(),
         reach: parts.reach,
+        peers: parts.peer_list,
+        samples: parts.samples,
         incarnation: rand::random(),
         view: parts.view,
     });
--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -1,7 +1,7 @@
 //! Daemons help each other while the store turns some of them away.
 //!
-//! A daemon that cannot reach the store asks peers for the table and the directory; it knows the
-//! seeds, and every daemon that has asked it.
+//! A daemon that cannot reach the store asks peers for the table and the directory. It begins with
+//! the seeds and learns of others from each peer that it meets.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
@@ -13,17 +13,17 @@
 use futures::future::join_all;
 use persimmon_ports::{Instance, Table};
 use persimmon_types::Clock;
-use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
+use rand::seq::{IndexedRandom, SliceRandom};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Json;
-use tarpc::{client, context, serde_transport};
-use thiserror::Error;
+use tarpc::{context, serde_transport};
 use tokio::net::TcpListener;
 
 use crate::control::Control;
-use crate::metrics::Metrics;
+use crate::peer_list::PeerList;
+use crate::peer_service::{FRAME_LIMIT, Known, PeerError, PeerService, SharedSample, connect};
 use crate::reach::Reach;
+use crate::sampling::SampleBoard;
 
 /// How long a peer may take to answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
@@ -41,38 +41,16 @@
 /// How long they may take; one that is slower is not counted.
 const CANVASS_LIMIT: Duration = Duration::from_millis(250);
 
-/// Peers remembered.
-const KNOWN_LIMIT: usize = 64;
+/// Rounds of [`ASK_EVERY`] after the start in which a peer is met, to learn of most others.
+const FIRST_MEETINGS: u32 = 6;
 
-/// The largest message, in bytes: a table of some thousand routes.
-const FRAME_LIMIT: usize = 8 << 20;
-
-/// What a daemon knows, for one that cannot reach the store.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Known {
-    table: Option<Table>,
-    /// Each instance with the revision of its entry.
-    instances: Vec<(u64, Instance)>,
-    peers: Vec<SocketAddr>,
-    /// Whether the store answered the daemon lately.
-    is_current: bool,
-}
-
-#[tarpc::service]
-pub(crate) trait PeerService {
-    /// Answers with the table if it is newer than the asker's, and with the directory.
-    async fn know(from: SocketAddr, table: u64) -> Known;
-
-    /// Answers whether an instance answers this daemon's statements; `None` if it sent none lately.
-    async fn reaches(instance: Arc<str>) -> Option<bool>;
-}
+/// Rounds between two meetings later on.
+const MEET_EVERY_ROUNDS: u32 = 30;
 
 /// What peers may read from another thread's task.
 #[derive(Debug, Default)]
 pub(crate) struct Shelf {
     known: Mutex<Known>,
-    /// Every peer that was heard of, in the order of its latest sign of life.
-    peers: Mutex<Vec<SocketAddr>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -92,32 +70,40 @@
         known.instances = instances;
         known.is_current = is_current;
     }
-
-    fn note_peer(&self, peer: SocketAddr) {
-        let mut peers = lock(&self.peers);
-        peers.retain(|p| *p != peer);
-        peers.push(peer);
-        if peers.len() > KNOWN_LIMIT {
-            peers.remove(0);
-        }
-    }
 }
 
 #[derive(Clone)]
 struct Answerer {
     shelf: Arc<Shelf>,
     reach: Arc<Reach>,
+    peers: Arc<PeerList>,
+    samples: Arc<SampleBoard>,
 }
 
 impl PeerService for Answerer {
     async fn know(self, _: context::Context, from: SocketAddr, table: u64) -> Known {
         let mut known = lock(&self.shelf.known).clone();
         known.table = known.table.filter(|t| t.version > table);
-        known.peers.clone_from(&lock(&self.shelf.peers));
-        self.shelf.note_peer(from);
+        known.peers = self.peers.all();
+        self.peers.note(from);
         known
     }
 
+    async fn meet(self, _: context::Context, from: SocketAddr) -> Vec<SocketAddr> {
+        let known = self.peers.all();
+        self.peers.note(from);
+        known
+    }
+
+    async fn sample(
+        self,
+        _: context::Context,
+        service: Arc<str>,
+        max_age_us: u64,
+    ) -> Option<SharedSample> {
+        self.samples.wait(&service, Duration::from_micros(max_age_us)).await
+    }
+
     async fn reaches(self, _: context::Context, instance: Arc<str>) -> Option<bool> {
         self.reach.answers(&instance, Clock.now())
     }
@@ -131,8 +117,12 @@
 pub(crate) fn serve(control: &Rc<Control>, listener: StdListener) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
-    let answerer =
-        Answerer { shelf: Arc::clone(&control.shelf), reach: Arc::clone(&control.reach) };
+    let answerer = Answerer {
+        shelf: Arc::clone(&control.shelf),
+        reach: Arc::clone(&control.reach),
+        peers: Arc::clone(&control.peers),
+        samples: Arc::clone(&control.samples),
+    };
     tokio::spawn(async move {
         let incoming = serde_transport::tcp::listen_on(listener, Json::default).await;
         let mut incoming = match incoming {
@@ -156,55 +146,66 @@
     Ok(())
 }
 
-/// Makes this daemon known to the seeds, and asks peers while the store does not answer.
+/// Meets peers, and asks them for what they know while the store does not answer.
 pub(crate) async fn help_each_other(control: Rc<Control>) {
-    for seed in control.settings.seeds.clone() {
-        if seed != control.settings.peers {
-            control.shelf.note_peer(seed);
-        }
-    }
-    let mut has_asked = false;
+    let mut rounds: u32 = 0;
     loop {
         let is_reachable = control.is_store_reachable() && control.has_directory.get();
-        if !has_asked || !is_reachable {
+        if !is_reachable {
             ask_some(&control).await;
-            has_asked = true;
         }
+        if rounds < FIRST_MEETINGS || rounds.is_multiple_of(MEET_EVERY_ROUNDS) {
+            meet_one(&control).await;
+        }
+        rounds = rounds.wrapping_add(1);
         tokio::time::sleep(ASK_EVERY).await;
     }
 }
 
+async fn meet_one(control: &Control) {
+    let Some(peer) = control.peers.all().choose(&mut rand::rng()).copied() else {
+        return;
+    };
+    let asking = async {
+        let client = connect(&control.metrics, peer).await?;
+        Ok::<_, PeerError>(client.meet(context::current(), control.settings.peers).await?)
+    };
+    match tokio::time::timeout(ANSWER_LIMIT, asking).await {
+        Ok(Ok(peers)) => {
+            control.peers.note(peer);
+            control.peers.learn(&peers);
+        }
+        Ok(Err(_)) | Err(_) => forget(control, peer),
+    }
+}
+
+/// Seeds are never forgotten: a daemon that has lost all peers begins with them again.
+fn forget(control: &Control, peer: SocketAddr) {
+    tracing::debug!(%peer, "a peer does not answer");
+    if !control.settings.seeds.contains(&peer) {
+        control.peers.forget(peer);
+    }
+}
+
 async fn ask_some(control: &Control) {
-    let mut peers = lock(&control.shelf.peers).clone();
-    peers.retain(|p| *p != control.settings.peers);
+    let mut peers = control.peers.all();
     peers.shuffle(&mut rand::rng());
     let asked = peers.iter().take(ASKED_AT_ONCE).map(|peer| ask(control, *peer));
     for (peer, answer) in join_all(asked).await {
         match answer {
             Ok(known) => take(control, peer, known),
             Err(err) => {
-                tracing::debug!(%peer, error = %err, "a peer does not answer");
-                let mut peers = lock(&control.shelf.peers);
-                if !control.settings.seeds.contains(&peer) {
-                    peers.retain(|p| *p != peer);
-                }
+                tracing::debug!(%peer, error = %err, "a peer cannot help");
+                forget(control, peer);
             }
         }
     }
 }
 
-async fn client(control: &Control, peer: SocketAddr) -> io::Result<PeerServiceClient> {
-    Metrics::add(&control.metrics.peer_calls);
-    let mut connecting = serde_transport::tcp::connect(peer, Json::default);
-    connecting.config_mut().max_frame_length(FRAME_LIMIT);
-    let transport = connecting.await?;
-    Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
-}
-
 async fn ask(control: &Control, peer: SocketAddr) -> (SocketAddr, Result<Known, PeerError>) {
     let version = control.table.borrow().as_ref().map_or(0, |t| t.version);
     let asking = async {
-        let client = client(control, peer).await?;
+        let client = connect(&control.metrics, peer).await?;
         Ok(client.know(context::current(), control.settings.peers, version).await?)
     };
     let answer = tokio::time::timeout(ANSWER_LIMIT, asking).await;
@@ -213,12 +214,11 @@
 
 /// Asks some peers whether an instance answers them; returns how many say no, and how many yes.
 pub(crate) async fn canvass(control: &Control, instance: &Arc<str>) -> (usize, usize) {
-    let mut peers = lock(&control.shelf.peers).clone();
-    peers.retain(|p| *p != control.settings.peers);
+    let mut peers = control.peers.all();
     peers.shuffle(&mut rand::rng());
     let asked = peers.iter().take(CANVASSED).map(|peer| async {
         let asking = async {
-            let client = client(control, *peer).await?;
+            let client = connect(&control.metrics, *peer).await?;
             Ok::<_, PeerError>(client.reaches(context::current(), Arc::clone(instance)).await?)
         };
         tokio::time::timeout(CANVASS_LIMIT, asking).await.unwrap_or(Err(PeerError::TimedOut))
@@ -229,12 +229,8 @@
 }
 
 fn take(control: &Control, peer: SocketAddr, known: Known) {
-    control.shelf.note_peer(peer);
-    for other in known.peers {
-        if !lock(&control.shelf.peers).contains(&other) {
-            lock(&control.shelf.peers).insert(0, other);
-        }
-    }
+    control.peers.note(peer);
+    control.peers.learn(&known.peers);
     if let Some(table) = known.table {
         control.adopt_table(table, "peer");
     }
@@ -251,14 +247,3 @@
         control.publish();
     }
 }
-
-/// Why a peer gave no answer.
-#[derive(Debug, Error)]
-enum PeerError {
-    #[error("not connected: {0}")]
-    Connect(#[from] io::Error),
-    #[error("no answer: {0}")]
-    Call(#[from] client::RpcError),
-    #[error("no answer in time")]
-    TimedOut,
-}
--- a/crates/persimmon-front/src/metrics.rs
+++ b/crates/persimmon-front/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms, reported through `cadence` and as text for scrapers.
+//! Counters and latency histograms as text for scrapers.
 
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -94,8 +94,8 @@
     store_calls,
     /// Calls of the store that failed.
     store_failures,
-    /// Messages to other daemons.
-    peer_calls,
+    /// Connections to other daemons.
+    peer_connections,
     /// Promotions ordered.
     promotions_ordered,
     /// Log lines of requests left out for the volume.
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::link::{Link, LinkError};
 use crate::metrics::Metrics;
+use crate::peer_list::PeerList;
 
 /// How long a connection may take to open: the handshake occupies a slot at the instance, behind
 /// the statements that wait there.
@@ -72,6 +73,7 @@
 pub(crate) struct Pool {
     protocol: Arc<dyn InstanceProtocol>,
     metrics: Arc<Metrics>,
+    peers: Arc<PeerList>,
     hosts: RefCell<HashMap<Arc<str>, Host>>,
 }
 
@@ -104,8 +106,17 @@
 
 impl Pool {
     /// Creates an empty pool.
-    pub(crate) fn new(protocol: Arc<dyn InstanceProtocol>, metrics: Arc<Metrics>) -> Self {
-        Self { protocol, metrics, hosts: RefCell::default() }
+    pub(crate) fn new(
+        protocol: Arc<dyn InstanceProtocol>,
+        metrics: Arc<Metrics>,
+        peers: Arc<PeerList>,
+    ) -> Self {
+        Self { protocol, metrics, peers, hosts: RefCell::default() }
+    }
+
+    /// Whether connections to an instance are fewer than daemons, or refused lately.
+    pub(crate) fn is_scarce(&self, id: &str, now: Time) -> bool {
+        self.hosts.borrow().get(id).is_none_or(|h| h.keep.is_scarce(now))
     }
 
     /// Reads or changes what is known of an instance's load.
@@ -161,6 +172,7 @@
     fn may_open(&self, instance: &Instance, now: Time, cap: usize) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
+        host.keep.set_share(cap, self.peers.count() + 1);
         // One daemon alone must not take an instance's whole cap.
         let may = host.opening < OPENING_LIMIT
             && host.lent + host.opening < (cap / 2).max(1)
@@ -225,7 +237,6 @@
         let err = match opened {
             Ok(link) => {
                 host.lent += 1;
-                host.keep.opened(now);
                 return Ok(link);
             }
             Err(err) => err,
@@ -261,7 +272,7 @@
                 host.idle.clear();
                 continue;
             }
-            let limit = host.keep.limit();
+            let limit = host.keep.limit(now);
             let surplus_idle = host.keep.surplus_idle(now);
             // The most lately used stand at the end.
             let surplus = host.idle.len().saturating_sub(limit);
--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -52,9 +52,12 @@
 
     /// Takes in a position that an instance reported while it led.
     pub(crate) fn add_sample(&self, service: &Arc<str>, position: Option<Position>, asked_at: Time) {
-        if let Some(position) = position {
-            self.leadership(service, |l| l.samples.add(Sample { position, asked_at }));
-        }
+        let Some(position) = position else {
+            return;
+        };
+        let sample = Sample { position, asked_at };
+        self.leadership(service, |l| l.samples.add(sample));
+        self.samples.add(service, sample);
     }
 
     /// The instance that is believed to lead, without asking.
@@ -252,25 +255,47 @@
                 let _ = tokio::time::timeout(LOOK_AGAIN, changed.notified()).await;
                 continue;
             }
-            self.sample(service, until).await;
+            self.sample(service, max_age, until).await;
+        }
+    }
+
+    /// Samples a primary for a peer, unless a sample is being taken.
+    pub(crate) fn sample_for_peers(self: &Rc<Self>, service: &Arc<str>) {
+        if self.leadership(service, |l| std::mem::replace(&mut l.is_sampling, true)) {
+            return;
         }
+        let (worker, service) = (Rc::clone(self), Arc::clone(service));
+        ntex::rt::spawn(async move {
+            let sampling = Sampling { worker: &worker, service: &service };
+            worker.sample_here(&service, Clock.now() + ASK_LIMIT).await;
+            drop(sampling);
+        });
     }
 
-    /// Samples the primary's log; the caller has set `is_sampling`.
-    async fn sample(&self, service: &Arc<str>, until: Time) {
+    /// Gets a sample of the primary's log; the caller has set `is_sampling`.
+    async fn sample(&self, service: &Arc<str>, max_age: Duration, until: Time) {
         let sampling = Sampling { worker: self, service };
+        let is_scarce = self.believed_leader(service).is_some_and(|leader| {
+            self.pool.is_scarce(&leader.id, Clock.now()) && !self.pool.has_idle(&leader.id)
+        });
+        if !is_scarce || !self.borrow_sample(service, max_age).await {
+            self.sample_here(service, until.min(Clock.now() + ASK_LIMIT * 2)).await;
+        }
+        drop(sampling);
+    }
+
+    async fn sample_here(&self, service: &Arc<str>, until: Time) {
         Metrics::add(&self.metrics.samples);
-        let until = until.min(Clock.now() + ASK_LIMIT * 2);
-        if let Some(leader) = self.leader(service, until).await {
-            match self.open_guarded(&leader, &Wanted::default(), until).await {
-                Ok((mut lease, _)) => self.rollback(&mut lease).await,
-                Err(why) => {
-                    tracing::debug!(%service, instance = %leader.id, ?why, "no sample");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
+        let Some(leader) = self.leader(service, until).await else {
+            return;
+        };
+        match self.open_guarded(&leader, &Wanted::default(), until).await {
+            Ok((mut lease, _)) => self.rollback(&mut lease).await,
+            Err(why) => {
+                tracing::debug!(%service, instance = %leader.id, ?why, "no sample");
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
         }
-        drop(sampling);
     }
 
     /// Samples the primary's log in the background if later reads will need it and a connection
@@ -288,7 +313,7 @@
             return;
         }
         let (worker, service) = (Rc::clone(self), Arc::clone(service));
-        ntex::rt::spawn(async move { worker.sample(&service, now + max_age).await });
+        ntex::rt::spawn(async move { worker.sample(&service, max_age, now + max_age).await });
     }
 }
 
--- a/crates/persimmon-front/src/run.rs
+++ b/crates/persimmon-front/src/run.rs
@@ -15,7 +15,9 @@
 use crate::metrics::Metrics;
 use crate::ops::{self, Ops};
 use crate::outside::{Outside, Reload};
+use crate::peer_list::PeerList;
 use crate::reach::Reach;
+use crate::sampling::SampleBoard;
 use crate::settings::Settings;
 use crate::traffic::{self, Stage, Worker};
 use crate::view::View;
@@ -23,6 +25,9 @@
 /// Suspicions that control has not read yet.
 const SUSPICIONS: usize = 64;
 
+/// Services of which peers want a sample, and that traffic has not seen yet.
+const SAMPLES_WANTED: usize = 64;
+
 /// Runs a daemon until it has been asked to stop.
 ///
 /// # Errors
@@ -44,6 +49,9 @@
 
     let metrics = Arc::new(Metrics::default());
     let reach = Arc::new(Reach::default());
+    let peer_list = Arc::new(PeerList::new(settings.peers, &settings.seeds));
+    let (wanted_tx, wanted) = mpsc::channel(SAMPLES_WANTED);
+    let samples = Arc::new(SampleBoard::new(wanted_tx));
     let settings = Arc::new(settings);
     let (view_tx, view) = watch::channel(Arc::new(View::default()));
     let (suspicions_tx, suspicions) = mpsc::channel(SUSPICIONS);
@@ -58,6 +66,8 @@
         suspicions,
         peers,
         reach: Arc::clone(&reach),
+        peer_list: Arc::clone(&peer_list),
+        samples: Arc::clone(&samples),
     })?;
     let parts = traffic::Parts {
         settings,
@@ -68,12 +78,14 @@
         view: view.clone(),
         suspicions: suspicions_tx,
         reach,
+        peers: peer_list,
+        samples,
     };
     let system = System::new("traffic", DefaultRuntime);
     system.block_on(async move {
         let worker = Rc::new(Worker::new(parts));
         let _ops = ops::serve(Ops { metrics, view, stage }, readiness, metrics_listener)?;
-        traffic::serve(&worker, callers)?;
+        traffic::serve(&worker, callers, wanted)?;
         until_asked_to_stop(&outside.reload).await?;
         drain(&worker, &stage_tx).await;
         Ok(())
--- a/crates/persimmon-front/src/traffic.rs
+++ b/crates/persimmon-front/src/traffic.rs
@@ -15,9 +15,11 @@
 
 use crate::logging::LogBudget;
 use crate::metrics::Metrics;
+use crate::peer_list::PeerList;
 use crate::pool::Pool;
 use crate::primaries::Leadership;
 use crate::reach::Reach;
+use crate::sampling::{SampleBoard, SamplerClients};
 use crate::session;
 use crate::settings::Settings;
 use crate::socket;
@@ -65,6 +67,9 @@
     pub(crate) stage: watch::Receiver<Stage>,
     pub(crate) sessions: Cell<usize>,
     pub(crate) reach: Arc<Reach>,
+    pub(crate) peers: Arc<PeerList>,
+    pub(crate) samples: Arc<SampleBoard>,
+    pub(crate) samplers: SamplerClients,
     view: watch::Receiver<Arc<View>>,
     suspicions: mpsc::Sender<Suspicion>,
 }
@@ -79,13 +84,22 @@
     pub(crate) view: watch::Receiver<Arc<View>>,
     pub(crate) suspicions: mpsc::Sender<Suspicion>,
     pub(crate) reach: Arc<Reach>,
+    pub(crate) peers: Arc<PeerList>,
+    pub(crate) samples: Arc<SampleBoard>,
 }
 
 impl Worker {
     /// Creates the state of the thread.
     pub(crate) fn new(parts: Parts) -> Self {
         Self {
-            pool: Rc::new(Pool::new(parts.instances, Arc::clone(&parts.metrics))),
+            pool: Rc::new(Pool::new(
+                parts.instances,
+                Arc::clone(&parts.metrics),
+                Arc::clone(&parts.peers),
+            )),
+            peers: parts.peers,
+            samples: parts.samples,
+            samplers: SamplerClients::default(),
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
             callers: parts.callers,
@@ -133,7 +147,11 @@
 /// # Errors
 ///
 /// Returns an error if the listener cannot be used.
-pub(crate) fn serve(worker: &Rc<Worker>, listener: StdListener) -> io::Result<()> {
+pub(crate) fn serve(
+    worker: &Rc<Worker>,
+    listener: StdListener,
+    mut wanted: mpsc::Receiver<Arc<str>>,
+) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let accepting = Rc::clone(worker);
@@ -155,6 +173,12 @@
             }
         }
     });
+    let sampling = Rc::clone(worker);
+    ntex::rt::spawn(async move {
+        while let Some(service) = wanted.recv().await {
+            sampling.sample_for_peers(&service);
+        }
+    });
     let sweeping = Rc::clone(worker);
     ntex::rt::spawn(async move {
         loop {
--- a/crates/persimmon-place/src/connections.rs
+++ b/crates/persimmon-place/src/connections.rs
@@ -1,8 +1,8 @@
 //! How many idle connections a daemon keeps to one instance.
 //!
-//! The cap of an instance is shared by daemons that do not know of each other's connections. A
-//! refusal is the signal to give idle ones back; the number kept halves with each, and grows by one
-//! at a time while connections are opened without a refusal.
+//! The cap of an instance is shared by all daemons. Each keeps its share of half the cap when idle;
+//! the other half is lent to whoever needs it. Where the share is less than one connection, an idle
+//! one is closed soon, and so it is for some time after an instance refused a new one.
 
 use std::time::Duration;
 
@@ -11,9 +11,6 @@
 /// Idle connections kept at the most.
 const MAX_KEPT: usize = 8;
 
-/// How long no refusal must come before one more is kept.
-const GROW_EVERY: Duration = Duration::from_secs(5);
-
 /// How long an instance counts as short of connections after a refusal.
 const SCARCE_FOR: Duration = Duration::from_secs(10);
 
@@ -25,35 +22,37 @@
 const SURPLUS_IDLE_SCARCE: Duration = Duration::from_millis(60);
 
 /// How many idle connections to one instance are kept.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Keep {
-    limit: usize,
-    changed_at: Time,
+    share: usize,
     refused_at: Option<Time>,
 }
 
-impl Default for Keep {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Keep {
-    /// Begins with a moderate number.
+    /// Keeps nothing until the share is known.
     #[must_use]
     pub fn new() -> Self {
-        Self { limit: 4, changed_at: Time::ZERO, refused_at: None }
+        Self::default()
+    }
+
+    /// Says how many connections the instance takes, and how many daemons share them.
+    pub fn set_share(&mut self, cap: usize, daemons: usize) {
+        self.share = (cap / 2 / daemons.max(1)).min(MAX_KEPT);
     }
 
     /// How many idle connections may be kept.
     #[must_use]
-    pub fn limit(&self) -> usize {
-        self.limit
+    pub fn limit(&self, now: Time) -> usize {
+        if self.was_refused(now) { self.share / 2 } else { self.share }
     }
 
-    /// Whether the instance has refused a connection for its cap lately.
+    /// Whether there are fewer connections than daemons, or the instance has refused one lately.
     #[must_use]
     pub fn is_scarce(&self, now: Time) -> bool {
+        self.share == 0 || self.was_refused(now)
+    }
+
+    fn was_refused(&self, now: Time) -> bool {
         self.refused_at.is_some_and(|at| now.since(at) < SCARCE_FOR)
     }
 
@@ -65,17 +64,6 @@
 
     /// Takes in that the instance refused a connection for its cap.
     pub fn refused(&mut self, now: Time) {
-        self.limit /= 2;
-        self.changed_at = now;
         self.refused_at = Some(now);
     }
-
-    /// Takes in that a connection was opened.
-    pub fn opened(&mut self, now: Time) {
-        if self.is_scarce(now) || now.since(self.changed_at) < GROW_EVERY {
-            return;
-        }
-        self.limit = (self.limit + 1).min(MAX_KEPT);
-        self.changed_at = now;
-    }
 }
--- a/crates/persimmon-types/src/lib.rs
+++ b/crates/persimmon-types/src/lib.rs
@@ -22,7 +22,7 @@
 pub use fingerprint::fingerprint;
 pub use group::{GroupRecord, Reservation};
 pub use position::{Lsn, Position, Term, TermStart, TermStarts};
-pub use rendezvous::{rank, ranked};
+pub use rendezvous::{rank, ranked, rendezvous_weight};
 pub use time::{Stamp, Time};
 pub use timeline::{TimelineEvent, TimelineKind};
 pub use token::{Token, TokenError};
--- a/crates/persimmon-types/src/rendezvous.rs
+++ b/crates/persimmon-types/src/rendezvous.rs
@@ -5,10 +5,16 @@
 use crate::entity::DaemonId;
 use crate::fingerprint::fingerprint;
 
-fn weight(key: &str, candidate: &DaemonId) -> u64 {
+/// The weight of a candidate for `key`; the highest owns it.
+#[must_use]
+pub fn rendezvous_weight(key: &str, candidate: &str) -> u64 {
     fingerprint(format!("{key}\0{candidate}").as_bytes())
 }
 
+fn weight(key: &str, candidate: &DaemonId) -> u64 {
+    rendezvous_weight(key, &candidate.to_string())
+}
+
 /// The first `count` candidates for `key`, best first.
 #[must_use]
 pub fn ranked(key: &str, candidates: &[DaemonId], count: usize) -> Vec<DaemonId> {
