Stand-ins of the platform, tests with real processes, and a duty that looks at once

The first tests found: equal instances were all ranked in the order of the directory, so that every daemon chose the same; a daemon whose peers had no statements at a primary took a second to replace it; a daemon that got the duty went on waiting for the holder; a new primary that died at once was missed for 3.5 s. Change: lab stand-ins of the store, the authority and the instances; peers without statements look for themselves; a random start among equals.

--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -18,8 +18,10 @@
 use tarpc::tokio_serde::formats::Json;
 use tarpc::{context, serde_transport};
 use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::control::Control;
+use crate::link::Link;
 use crate::peer_list::PeerList;
 use crate::peer_service::{FRAME_LIMIT, Known, PeerError, PeerService, SharedSample, connect};
 use crate::reach::Reach;
@@ -39,7 +41,13 @@
 const CANVASSED: usize = 7;
 
 /// How long they may take; one that is slower is not counted.
-const CANVASS_LIMIT: Duration = Duration::from_millis(250);
+const CANVASS_LIMIT: Duration = Duration::from_millis(350);
+
+/// How long an instance may take to accept a connection that a peer asked for.
+const LOOK_LIMIT: Duration = Duration::from_millis(250);
+
+/// Questions of peers that control has not seen yet.
+const LOOKS: usize = 16;
 
 /// Rounds of [`ASK_EVERY`] after the start in which a peer is met, to learn of most others.
 const FIRST_MEETINGS: u32 = 6;
@@ -78,8 +86,12 @@
     reach: Arc<Reach>,
     peers: Arc<PeerList>,
     samples: Arc<SampleBoard>,
+    looks: mpsc::Sender<Look>,
 }
 
+/// A question whether an instance answers, and where its answer goes.
+type Look = (Arc<str>, oneshot::Sender<bool>);
+
 impl PeerService for Answerer {
     async fn know(self, _: context::Context, from: SocketAddr, table: u64) -> Known {
         let mut known = lock(&self.shelf.known).clone();
@@ -105,7 +117,13 @@
     }
 
     async fn reaches(self, _: context::Context, instance: Arc<str>) -> Option<bool> {
-        self.reach.answers(&instance, Clock.now())
+        if let Some(answers) = self.reach.answers(&instance, Clock.now()) {
+            return Some(answers);
+        }
+        // No statement went there lately: control looks for itself.
+        let (tx, rx) = oneshot::channel();
+        self.looks.try_send((instance, tx)).ok()?;
+        rx.await.ok()
     }
 }
 
@@ -117,12 +135,15 @@
 pub(crate) fn serve(control: &Rc<Control>, listener: StdListener) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
+    let (looks_tx, looks) = mpsc::channel(LOOKS);
     let answerer = Answerer {
         shelf: Arc::clone(&control.shelf),
         reach: Arc::clone(&control.reach),
         peers: Arc::clone(&control.peers),
         samples: Arc::clone(&control.samples),
+        looks: looks_tx,
     };
+    ntex::rt::spawn(look(Rc::clone(control), looks));
     tokio::spawn(async move {
         let incoming = serde_transport::tcp::listen_on(listener, Json::default).await;
         let mut incoming = match incoming {
@@ -146,6 +167,28 @@
     Ok(())
 }
 
+/// Looks whether instances answer, for peers that ask.
+async fn look(control: Rc<Control>, mut looks: mpsc::Receiver<Look>) {
+    while let Some((id, tx)) = looks.recv().await {
+        let view = control.view();
+        let listed = view.services.values().flatten().find(|l| l.instance.id == id);
+        let Some(instance) = listed.map(|l| Arc::clone(&l.instance)) else {
+            continue;
+        };
+        let control = Rc::clone(&control);
+        ntex::rt::spawn(async move {
+            let opened = Link::open(&control.instances, &instance, LOOK_LIMIT).await;
+            let now = Clock.now();
+            match &opened {
+                Ok(_) => control.reach.answered(&instance.id, now),
+                Err(_) => control.reach.failed(&instance.id, now),
+            }
+            // The peer may have given up waiting.
+            let _ = tx.send(opened.is_ok());
+        });
+    }
+}
+
 /// Meets peers, and asks them for what they know while the store does not answer.
 pub(crate) async fn help_each_other(control: Rc<Control>) {
     let mut rounds: u32 = 0;
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -65,6 +65,8 @@
     keep: Keep,
     load: Load,
     refused_until: Time,
+    /// Whether the latest connection failed; only the first failure is logged.
+    is_failing: bool,
     freed: Rc<Notify>,
 }
 
@@ -237,13 +239,18 @@
         let err = match opened {
             Ok(link) => {
                 host.lent += 1;
+                if std::mem::take(&mut host.is_failing) {
+                    tracing::info!(instance = %instance.id, "an instance accepts connections again");
+                }
                 return Ok(link);
             }
             Err(err) => err,
         };
         Metrics::add(&self.metrics.connections_failed);
-        tracing::info!(instance = %instance.id, address = %instance.address, error = %err,
-            lent = host.lent, idle = host.idle.len(), "no connection to an instance");
+        if !std::mem::replace(&mut host.is_failing, true) {
+            tracing::info!(instance = %instance.id, address = %instance.address, error = %err,
+                lent = host.lent, idle = host.idle.len(), "no connection to an instance");
+        }
         let unavailable = match err {
             LinkError::Refused(Code::TooManyConnections, _) => {
                 host.keep.refused(now);
--- a/crates/persimmon-front/src/run.rs
+++ b/crates/persimmon-front/src/run.rs
@@ -33,16 +33,23 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound or a thread not started.
-pub fn run(settings: Settings, outside: Outside) -> io::Result<()> {
+pub fn run(mut settings: Settings, outside: Outside) -> io::Result<()> {
     let _logs = start_logging(DEFAULT_FILTER);
     let callers = TcpListener::bind(settings.callers)?;
     let readiness = TcpListener::bind(settings.readiness)?;
     let peers = TcpListener::bind(settings.peers)?;
+    // A port may have been left to the host's choice.
+    settings.callers = callers.local_addr()?;
+    settings.readiness = readiness.local_addr()?;
+    settings.peers = peers.local_addr()?;
     let metrics_listener = TcpListener::bind(settings.metrics)
         .inspect_err(|err| {
             tracing::warn!(address = %settings.metrics, error = %err, "metrics cannot be served");
         })
         .ok();
+    if let Some(listener) = &metrics_listener {
+        settings.metrics = listener.local_addr()?;
+    }
     tracing::info!(name = %settings.name, domain = %settings.domain, callers = %settings.callers,
         readiness = %settings.readiness, peers = %settings.peers, metrics = %settings.metrics,
         version = env!("CARGO_PKG_VERSION"), "started");
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -243,7 +243,8 @@
                 is_connected: *is_connected,
             });
         }
-        if let Some(index) = choose(Clock.now(), floor, &candidates) {
+        let start = rand::rng().random_range(0..candidates.len().max(1));
+        if let Some(index) = choose(Clock.now(), floor, &candidates, start) {
             carried.after = Some(floor);
             return Some(Arc::clone(&listed[index].instance));
         }
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -12,6 +12,7 @@
 mod pgclient;
 pub mod platform;
 pub mod process;
+pub mod seam;
 pub mod proxy;
 pub mod writers;
 
--- /dev/null
+++ b/crates/persimmon-lab/src/seam/store.rs
@@ -0,0 +1,347 @@
+//! The object store and the authority that promotes, over HTTP.
+
+#![allow(missing_docs, reason = "the route attributes make items without documentation")]
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ntex::rt::{DefaultRuntime, System};
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::seam::group::Group;
+
+/// How the store misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Every call is refused with 503.
+    pub is_busy: bool,
+    /// Writes take effect and are not answered.
+    pub loses_answers: bool,
+    /// Promotions are carried out and not answered.
+    pub loses_orders: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Stored {
+    revision: u64,
+    spec: Value,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    oldest: u64,
+    objects: BTreeMap<(String, String), Stored>,
+    events: Vec<(u64, String, Value)>,
+    groups: Vec<Arc<Group>>,
+    tokens: HashMap<String, (u64, String)>,
+    faults: StoreFaults,
+    calls: u64,
+    violations: Vec<String>,
+}
+
+/// The store and the authority.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Where both are served.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+fn body(name: &str, stored: &Stored) -> Value {
+    json!({
+        "meta": {"name": name, "rev": stored.revision, "created": 1, "finalizers": [],
+                 "deleting": false},
+        "spec": stored.spec, "status": null,
+    })
+}
+
+impl Store {
+    /// Starts the store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store = Self {
+            address: listener.local_addr()?,
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        };
+        store.lock().revision = 1;
+        let serving = store.clone();
+        std::thread::spawn(move || {
+            let system = System::new("store", DefaultRuntime);
+            system.block_on(async move {
+                let server = HttpServer::new(async move || {
+                    App::new()
+                        .state(serving.clone())
+                        .service((list, read, create, replace, promote))
+                });
+                match server.workers(1).disable_signals().listen(listener) {
+                    Ok(server) => {
+                        // The stand-in serves until its process ends.
+                        let _ = server.run().await;
+                    }
+                    Err(err) => eprintln!("the store cannot be served: {err}"),
+                }
+            });
+        });
+        Ok(store)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn add_group(&self, group: Arc<Group>) {
+        self.lock().groups.push(group);
+    }
+
+    /// Sets how the store misbehaves.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().faults = faults;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Forgets the history, and cuts the watches that wait.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.oldest = state.revision;
+        state.events.clear();
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Writes an object whatever its revision is; one that does not change keeps its revision.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.lock();
+        if state.objects.get(&key).is_some_and(|o| o.spec == spec) {
+            return;
+        }
+        state.revision += 1;
+        let stored = Stored { revision: state.revision, spec };
+        let event = json!({"deleted": false, "object": body(name, &stored)});
+        let revision = state.revision;
+        state.events.push((revision, kind.to_owned(), event));
+        state.objects.insert(key, stored);
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.lock();
+        let Some(mut stored) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
+        state.revision += 1;
+        stored.revision = state.revision;
+        let event = json!({"deleted": true, "object": body(name, &stored)});
+        let revision = state.revision;
+        state.events.push((revision, kind.to_owned(), event));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Calls that were made.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// What must not be and was.
+    #[must_use]
+    pub fn violations(&self) -> Vec<String> {
+        self.lock().violations.clone()
+    }
+
+    /// Counts a call; returns the answer if it is refused.
+    fn admit(&self) -> Option<HttpResponse> {
+        let mut state = self.lock();
+        state.calls += 1;
+        state.faults.is_busy.then(|| HttpResponse::ServiceUnavailable().finish())
+    }
+
+    fn changes(&self, kind: &str, after: u64) -> (Vec<Value>, u64) {
+        let state = self.lock();
+        let newer = state.events.iter().filter(|(r, k, _)| *r > after && k == kind);
+        (newer.map(|(_, _, event)| event.clone()).collect(), state.revision)
+    }
+
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> HttpResponse {
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            if self.lock().faults.is_busy {
+                return HttpResponse::ServiceUnavailable().finish();
+            }
+            if after < self.lock().oldest {
+                return HttpResponse::Gone().finish();
+            }
+            let (events, at) = self.changes(kind, after);
+            let is_over = tokio::time::Instant::now() >= until;
+            if !events.is_empty() || is_over {
+                return HttpResponse::Ok().json(&json!({"events": events, "at": at}));
+            }
+            // Running out of time here only means to look again.
+            let _ = tokio::time::timeout_at(until, changed.changed()).await;
+        }
+    }
+
+    async fn write(&self, kind: &str, name: &str, expect: Option<u64>, spec: Value) -> HttpResponse {
+        if let Some(refused) = self.admit() {
+            return refused;
+        }
+        let key = (kind.to_owned(), name.to_owned());
+        let current = self.lock().objects.get(&key).cloned();
+        if current.as_ref().map(|o| o.revision) != expect {
+            let held = current.map(|o| body(name, &o)).unwrap_or(Value::Null);
+            return HttpResponse::Conflict().json(&held);
+        }
+        self.put(kind, name, spec);
+        if self.lock().faults.loses_answers {
+            std::future::pending::<()>().await;
+        }
+        let stored = self.lock().objects.get(&key).cloned();
+        HttpResponse::Ok().json(&stored.map(|o| body(name, &o)))
+    }
+
+    async fn promote(&self, order: Order, holder: String, token: u64) -> HttpResponse {
+        let loses = {
+            let mut state = self.lock();
+            state.calls += 1;
+            let (highest, by) =
+                state.tokens.get(&order.service).cloned().unwrap_or((0, holder.clone()));
+            if token < highest {
+                return HttpResponse::Conflict().finish();
+            }
+            if token == highest && by != holder {
+                let violation = format!("{by} and {holder} ordered with token {token}");
+                state.violations.push(violation);
+            }
+            state.tokens.insert(order.service.clone(), (token, holder));
+            let group = state.groups.iter().find(|g| g.name == order.service).cloned();
+            let copy = order.id.rsplit('-').next().and_then(|c| c.parse().ok());
+            let (Some(group), Some(copy)) = (group, copy) else {
+                return HttpResponse::NotFound().finish();
+            };
+            if !group.order(copy) {
+                return HttpResponse::Conflict().finish();
+            }
+            state.faults.loses_orders
+        };
+        if loses {
+            std::future::pending::<()>().await;
+        }
+        HttpResponse::Ok().finish()
+    }
+}
+
+#[derive(Deserialize)]
+struct ListQuery {
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct WriteMeta {
+    name: String,
+    rev: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct WriteBody {
+    meta: WriteMeta,
+    spec: Value,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    service: String,
+    id: String,
+}
+
+/// Lists or watches a kind.
+#[web::get("/objects/{kind}")]
+async fn list(
+    store: web::types::State<Store>,
+    kind: web::types::Path<String>,
+    query: web::types::Query<ListQuery>,
+) -> HttpResponse {
+    if let Some(refused) = store.admit() {
+        return refused;
+    }
+    if let Some(after) = query.watch {
+        let wait = Duration::from_millis(query.wait_ms.unwrap_or(0));
+        return store.watch(&kind, after, wait).await;
+    }
+    let state = store.lock();
+    let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind.as_str());
+    let items: Vec<Value> = of_kind.map(|((_, name), o)| body(name, o)).collect();
+    HttpResponse::Ok().json(&json!({"items": items, "has_more": false, "at": state.revision}))
+}
+
+/// Reads one object.
+#[web::get("/objects/{kind}/{name}")]
+async fn read(
+    store: web::types::State<Store>,
+    path: web::types::Path<(String, String)>,
+) -> HttpResponse {
+    if let Some(refused) = store.admit() {
+        return refused;
+    }
+    let (kind, name) = path.into_inner();
+    match store.lock().objects.get(&(kind, name.clone())) {
+        Some(stored) => HttpResponse::Ok().json(&body(&name, stored)),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+/// Creates one object.
+#[web::post("/objects/{kind}")]
+async fn create(
+    store: web::types::State<Store>,
+    kind: web::types::Path<String>,
+    written: web::types::Json<WriteBody>,
+) -> HttpResponse {
+    let WriteBody { meta, spec } = written.into_inner();
+    store.write(&kind, &meta.name, None, spec).await
+}
+
+/// Replaces one object.
+#[web::put("/objects/{kind}/{name}")]
+async fn replace(
+    store: web::types::State<Store>,
+    path: web::types::Path<(String, String)>,
+    written: web::types::Json<WriteBody>,
+) -> HttpResponse {
+    let (kind, name) = path.into_inner();
+    let WriteBody { meta, spec } = written.into_inner();
+    store.write(&kind, &name, meta.rev, spec).await
+}
+
+/// Orders a promotion.
+#[web::post("/promote")]
+async fn promote(
+    store: web::types::State<Store>,
+    req: HttpRequest,
+    order: web::types::Json<Order>,
+) -> HttpResponse {
+    let header = |name: &str| {
+        req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+    };
+    let token = header("Fence-Token").parse().unwrap_or(0);
+    store.promote(order.into_inner(), header("Duty-Holder"), token).await
+}
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -147,7 +147,13 @@
     Confirmed { need: Need, since: Time, act_at: Time },
     Claiming { need: Need, since: Time },
     Asking { need: Need, since: Time },
-    Ordered { need: Need, old: Option<Arc<str>>, check_at: Time, repeat_at: Time },
+    Ordered {
+        need: Need,
+        old: Option<Arc<str>>,
+        candidate: Arc<str>,
+        check_at: Time,
+        repeat_at: Time,
+    },
 }
 
 /// The duty of one service.
@@ -294,7 +300,12 @@
                 }
             }
             State::Claiming { .. } | State::Asking { .. } => {}
-            State::Ordered { need, check_at, repeat_at, .. } => {
+            State::Ordered { need, candidate, check_at, repeat_at, .. } => {
+                if sight.primary.as_ref() == Some(candidate) {
+                    // It has said so itself; whether it still lives is another question.
+                    self.state = State::Calm;
+                    return;
+                }
                 if now >= *repeat_at {
                     let need = *need;
                     self.state = State::Confirmed { need, since: now, act_at: now };
@@ -428,6 +439,9 @@
     fn claimed(&mut self, now: Time, token: u64, actions: &mut Vec<Action>) {
         self.token = Some(token);
         self.may_act_at = now + self.lease;
+        if let State::Waiting { look_at, .. } = &mut self.state {
+            *look_at = now;
+        }
         if let State::Claiming { need, since } = self.state {
             if self.lease.is_zero() {
                 self.state = State::Asking { need, since };
@@ -483,6 +497,7 @@
         self.state = State::Ordered {
             need,
             old,
+            candidate: Arc::clone(&candidate),
             check_at: now + PROBE_EVERY,
             repeat_at: now + PROMOTION_LIMIT,
         };
--- a/crates/persimmon-place/src/placing.rs
+++ b/crates/persimmon-place/src/placing.rs
@@ -149,10 +149,19 @@
 }
 
 /// Chooses the instance with the lowest expected cost, or none if every one is avoided.
+///
+/// The search begins at `start`, which the caller draws at random: among equals, all daemons would
+/// otherwise choose the same.
 #[must_use]
-pub fn choose(now: Time, floor: Position, candidates: &[Candidate<'_>]) -> Option<usize> {
+pub fn choose(
+    now: Time,
+    floor: Position,
+    candidates: &[Candidate<'_>],
+    start: usize,
+) -> Option<usize> {
     let mut best: Option<(f64, usize)> = None;
-    for candidate in candidates {
+    let (before, after) = candidates.split_at(start.min(candidates.len()));
+    for candidate in after.iter().chain(before) {
         if candidate.was_tried || candidate.load.is_avoided(now) {
             continue;
         }
