A busy instance is not dead, replicas are never told to go on, positions count in a known term only

Ruled out: the choice of candidate (it was the highest of all replicas asked). Change: only a host that accepts no connection is silent; replicas stopped before a promotion go on with the promotion only; a position proves something only in a term that was known before the question.

--- a/crates/persimmon-front/src/control/duties.rs
+++ b/crates/persimmon-front/src/control/duties.rs
@@ -1,6 +1,6 @@
 //! Runs the duty of each service.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,8 +36,6 @@
     duty: RefCell<Duty>,
     links: Links,
     service: Arc<str>,
-    /// Whether replicas were told to stop receiving.
-    has_paused: Cell<bool>,
 }
 
 /// Runs all duties until the process ends.
@@ -82,7 +80,6 @@
                 duty: RefCell::new(new_duty(control)),
                 links: Links::default(),
                 service: Arc::clone(name),
-                has_paused: Cell::new(false),
             });
             claim_first(control, &running, index);
             running
@@ -144,14 +141,6 @@
             draining = sight.is_draining, missing = ?sight.missing_for,
             because = ?input, "a duty changed its state");
     }
-    let goes_on = matches!(after, "asking" | "ordered");
-    if !goes_on && running.has_paused.replace(false) {
-        let (control, running) = (Rc::clone(control), Rc::clone(running));
-        ntex::rt::spawn(async move {
-            let view = control.view();
-            running.links.resume(&control, view.instances(&running.service)).await;
-        });
-    }
     for action in actions {
         let (control, running) = (Rc::clone(control), Rc::clone(running));
         ntex::rt::spawn(async move {
@@ -296,7 +285,9 @@
 }
 
 /// Asks every instance for its state. With synchronous replication the replicas first stop
-/// receiving, so that the old primary acknowledges nothing that the next one lacks.
+/// receiving, so that the old primary acknowledges nothing that the next one lacks. They are never
+/// told to go on: that could undo what a daemon with a higher token has just ordered. The promotion
+/// that follows lets them receive again.
 async fn ask(control: &Control, running: &Running) -> Vec<Asked> {
     let view = control.view();
     let listed = view.instances(&running.service);
@@ -305,10 +296,14 @@
     let is_asked = |l: &&Listed| is_planned || l.instance.role == Role::Replica;
     let listed: Vec<Listed> = listed.iter().filter(is_asked).cloned().collect();
     let asked = running.links.ask(control, &listed, None).await;
-    if !running.duty.borrow().is_synchronous() {
+    let newest = asked.iter().filter_map(|a| a.status.map(|s| s.term)).max();
+    let leads = |a: &Asked| {
+        a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest)
+    };
+    let is_led = !is_planned && asked.iter().any(leads);
+    if is_led || !running.duty.borrow().is_synchronous() {
         return asked;
     }
-    running.has_paused.set(true);
     let term = next_term(&asked);
     let is_replica = |l: &&Listed| {
         let status = asked.iter().find(|a| a.id == l.instance.id).and_then(|a| a.status);
--- a/crates/persimmon-front/src/control/inquiry.rs
+++ b/crates/persimmon-front/src/control/inquiry.rs
@@ -125,28 +125,14 @@
         self.keep(listed, link);
         Ok(status)
     }
-
-    /// Lets replicas receive again after a change of primary that was given up.
-    pub(crate) async fn resume(&self, control: &Control, listed: &[Listed]) {
-        let resumed = listed.iter().map(|l| async {
-            let mut link = self.borrow(control, l, STATUS_LIMIT).await?;
-            link.send(&[Command::Resume])?;
-            link.answer(STATUS_LIMIT).await?;
-            self.keep(l, link);
-            Ok::<_, LinkError>(())
-        });
-        for err in join_all(resumed).await.into_iter().filter_map(Result::err) {
-            tracing::info!(error = %err, "an instance could not be told to receive again");
-        }
-    }
 }
 
 fn finding(err: &LinkError) -> Finding {
     match err {
-        LinkError::TimedOut => Finding::Silent,
+        // Its host accepts connections; the answer waits for a slot.
+        LinkError::TimedOut => Finding::Busy,
         LinkError::Broken(err) if err.kind() == io::ErrorKind::TimedOut => Finding::Silent,
-        // A full instance lives; it is asked again.
-        LinkError::Refused(Code::TooManyConnections, _) => Finding::Silent,
+        LinkError::Refused(Code::TooManyConnections, _) => Finding::Busy,
         LinkError::Broken(_) | LinkError::Protocol(_) | LinkError::Refused(..) => Finding::Refused,
     }
 }
--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -179,12 +179,14 @@
         ntex::rt::spawn(async move {
             let opened = Link::open(&control.instances, &instance, LOOK_LIMIT).await;
             let now = Clock.now();
-            match &opened {
-                Ok(_) => control.reach.answered(&instance.id, now),
-                Err(_) => control.reach.failed(&instance.id, now),
+            let answers = opened.as_ref().err().is_none_or(|err| !err.is_broken());
+            if answers {
+                control.reach.answered(&instance.id, now);
+            } else {
+                control.reach.failed(&instance.id, now);
             }
             // The peer may have given up waiting.
-            let _ = tx.send(opened.is_ok());
+            let _ = tx.send(answers);
         });
     }
 }
--- a/crates/persimmon-front/src/link.rs
+++ b/crates/persimmon-front/src/link.rs
@@ -44,6 +44,13 @@
     Refused(Code, Arc<str>),
 }
 
+impl LinkError {
+    /// Whether the connection itself failed: a busy instance may be late without being dead.
+    pub(crate) fn is_broken(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Protocol(_))
+    }
+}
+
 /// The whole answer to one statement.
 #[derive(Clone, Debug)]
 pub(crate) struct Answer {
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -258,7 +258,8 @@
                 return Err(Unavailable::Full);
             }
             LinkError::Refused(Code::WrongInstance, _) => Unavailable::Replaced,
-            LinkError::TimedOut => Unavailable::Silent,
+            // The host accepted the connection; the greeting waits for a slot.
+            LinkError::TimedOut => Unavailable::Waited,
             LinkError::Broken(err) if err.kind() == std::io::ErrorKind::TimedOut => {
                 Unavailable::Silent
             }
--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -50,14 +50,28 @@
         f(self.leaderships.borrow_mut().entry(Arc::clone(service)).or_default())
     }
 
-    /// Takes in a position that an instance reported while it led.
-    pub(crate) fn add_sample(&self, service: &Arc<str>, position: Option<Position>, asked_at: Time) {
+    /// Takes in a position that came with an answer of an instance that led; returns whether it
+    /// covers every commit acknowledged before the question.
+    pub(crate) fn add_sample(
+        &self,
+        service: &Arc<str>,
+        position: Option<Position>,
+        asked_at: Time,
+    ) -> bool {
         let Some(position) = position else {
-            return;
+            return false;
         };
         let sample = Sample { position, asked_at };
-        self.leadership(service, |l| l.samples.add(sample));
-        self.samples.add(service, sample);
+        let proves = self.leadership(service, |l| l.samples.add(Clock.now(), sample));
+        if proves {
+            self.samples.add(service, sample);
+        }
+        proves
+    }
+
+    /// Takes in a sample that a peer has proven.
+    pub(crate) fn add_proven(&self, service: &Arc<str>, sample: Sample) {
+        self.leadership(service, |l| l.samples.add_proven(sample));
     }
 
     /// The instance that is believed to lead, without asking.
@@ -202,7 +216,9 @@
     pub(crate) fn broke(&self, instance: &Arc<Instance>, err: &LinkError) {
         Metrics::add(&self.metrics.connections_lost);
         self.pool.load(&instance.id, |l| l.unreachable(Clock.now()));
-        self.reach.failed(&instance.id, Clock.now());
+        if err.is_broken() {
+            self.reach.failed(&instance.id, Clock.now());
+        }
         let service = &instance.service;
         let is_leader = self.believed_leader(service).is_some_and(|l| l.id == instance.id);
         tracing::info!(%service, instance = %instance.id, error = %err, is_leader,
@@ -227,16 +243,17 @@
         }
     }
 
-    /// The lowest position that makes a copy fresh enough, from a new sample if none is known.
+    /// The lowest position that covers every commit acknowledged before `since`, from a new sample
+    /// if none is known.
     pub(crate) async fn floor(
         &self,
         service: &Arc<str>,
-        arrival: Time,
+        since: Time,
         max_age: Duration,
         until: Time,
     ) -> Option<Position> {
         loop {
-            let found = self.leadership(service, |l| l.samples.floor(arrival, max_age));
+            let found = self.leadership(service, |l| l.samples.floor(since));
             if found.is_some() {
                 return found;
             }
--- a/crates/persimmon-front/src/sampling.rs
+++ b/crates/persimmon-front/src/sampling.rs
@@ -98,7 +98,8 @@
             match answer.unwrap_or(Err(PeerError::TimedOut)) {
                 Ok(Some(sample)) => {
                     let asked_at = asked_at - Duration::from_micros(sample.age_us);
-                    self.add_sample(service, Some(sample.position), asked_at);
+                    let sample = Sample { position: sample.position, asked_at };
+                    self.add_proven(service, sample);
                     return true;
                 }
                 Ok(None) => {}
--- a/crates/persimmon-front/src/session.rs
+++ b/crates/persimmon-front/src/session.rs
@@ -71,6 +71,8 @@
     values: BTreeMap<Arc<str>, Arc<str>>,
     prepared: HashMap<Arc<str>, Shape>,
     own_floor: Option<Position>,
+    /// When a commit was acknowledged whose position is not known.
+    own_since: Time,
     tx: Tx,
 }
 
@@ -98,6 +100,7 @@
         values: BTreeMap::new(),
         prepared: HashMap::new(),
         own_floor: None,
+        own_since: Time::ZERO,
         tx: Tx::None,
     };
     session.run(&user).await;
@@ -356,6 +359,7 @@
             shape,
             values: &self.values,
             own_floor: self.own_floor,
+            own_since: self.own_since,
             fresh_at,
             until,
             route: Arc::clone(&route),
@@ -409,8 +413,12 @@
 
     /// Takes in that a commit of this session was acknowledged.
     fn committed(&mut self, route: &Route, position: Option<Position>, asked_at: Time) {
-        self.own_floor = self.own_floor.max(position);
-        self.worker.add_sample(&route.service, position, asked_at);
+        if self.worker.add_sample(&route.service, position, asked_at) {
+            self.own_floor = self.own_floor.max(position);
+        } else {
+            // Only a sample that is taken from now on covers the commit.
+            self.own_since = Clock.now();
+        }
     }
 
     /// Runs a statement on the connection of the open transaction.
@@ -433,6 +441,7 @@
             shape,
             values: &self.values,
             own_floor: self.own_floor,
+            own_since: self.own_since,
             fresh_at: began,
             until,
             route: Arc::clone(&route),
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -84,6 +84,8 @@
     pub(crate) values: &'a BTreeMap<Arc<str>, Arc<str>>,
     /// The position of the session's last commit.
     pub(crate) own_floor: Option<Position>,
+    /// When a commit of the session was acknowledged whose position is not known.
+    pub(crate) own_since: Time,
     /// When the first byte of the read, or of its transaction, arrived.
     pub(crate) fresh_at: Time,
     /// When it must be answered.
@@ -220,7 +222,8 @@
             carried.after = None;
             return self.leader(service, job.until).await;
         }
-        let floor = self.floor(service, job.fresh_at, max_age, job.until).await?;
+        let since = (job.fresh_at - max_age).max(job.own_since);
+        let floor = self.floor(service, since, max_age, job.until).await?;
         self.refresh(service, max_age);
         let floor = job.own_floor.map_or(floor, |own| own.max(floor));
         let view = self.view();
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -62,7 +62,9 @@
     Follows,
     /// Its host answers, and no process listens.
     Refused,
-    /// No answer came.
+    /// Its host accepts connections, and the answer is late.
+    Busy,
+    /// Its host does not answer.
     Silent,
 }
 
@@ -397,6 +399,11 @@
         match finding {
             Finding::Refused => *refused += 1,
             Finding::Silent => *silent += 1,
+            Finding::Busy => {
+                *refused = 0;
+                *silent = 0;
+                *probe_at = now + PROBE_EVERY * 3;
+            }
             Finding::Follows | Finding::Leads => *refused = 0,
         }
         let need = *need;
@@ -490,7 +497,9 @@
             self.pause(now);
             return;
         };
-        if is_planned && now.since(since) < CATCH_UP_LIMIT && !has_caught_up(asked, &candidate) {
+        // Replicas that have been stopped receive nothing more: waiting would not help them.
+        let may_wait = is_planned && !self.is_synchronous && now.since(since) < CATCH_UP_LIMIT;
+        if may_wait && !has_caught_up(asked, &candidate) {
             self.state = State::Confirmed { need, since, act_at: now + STEP_PAUSE };
             return;
         }
--- a/crates/persimmon-place/src/freshness.rs
+++ b/crates/persimmon-place/src/freshness.rs
@@ -4,6 +4,10 @@
 //! before the question was sent. A copy whose log contains the position is therefore no older than
 //! the question.
 //!
+//! An instance may lose the lead between running a statement and reporting its position, which is
+//! then that of a copy. A position therefore counts only if it is of a term that was known before the
+//! question was sent: an instance that reports it led that term, and no later one had begun.
+//!
 //! Invariant: all samples kept are of one term, and rise in time and position.
 
 use std::collections::VecDeque;
@@ -34,6 +38,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Samples {
     kept: VecDeque<Sample>,
+    term: Term,
+    /// Since when the term is known.
+    term_known_at: Time,
 }
 
 impl Samples {
@@ -46,7 +53,7 @@
     /// The newest term that was sampled.
     #[must_use]
     pub fn term(&self) -> Term {
-        self.kept.back().map_or(Term(0), |s| s.position.term)
+        self.term
     }
 
     /// The newest sample.
@@ -55,21 +62,40 @@
         self.kept.back().copied()
     }
 
-    /// Adds a sample. One of an older term is ignored; one of a newer term replaces all others,
-    /// because their positions may name commits that no longer exist.
-    pub fn add(&mut self, sample: Sample) {
-        let Some(last) = self.kept.back().copied() else {
-            self.kept.push_back(sample);
-            return;
-        };
-        if sample.position.term > last.position.term {
+    /// Takes in a position that came with an answer at `now`; returns whether it proves anything.
+    ///
+    /// The first position of a new term only makes the term known; positions of older terms are
+    /// forgotten then, because they may name commits that no longer exist.
+    pub fn add(&mut self, now: Time, sample: Sample) -> bool {
+        if sample.position.term > self.term {
             self.kept.clear();
-            self.kept.push_back(sample);
-            return;
+            self.term = sample.position.term;
+            self.term_known_at = now;
+            return false;
         }
-        let is_ordered = sample.position.term == last.position.term
-            && sample.position.lsn >= last.position.lsn
-            && sample.asked_at >= last.asked_at + SPACING;
+        if sample.position.term < self.term || sample.asked_at < self.term_known_at {
+            return false;
+        }
+        self.keep(sample);
+        true
+    }
+
+    /// Takes in a sample that another daemon has found to prove something.
+    pub fn add_proven(&mut self, sample: Sample) {
+        if sample.position.term > self.term {
+            self.kept.clear();
+            self.term = sample.position.term;
+            self.term_known_at = sample.asked_at;
+        }
+        if sample.position.term == self.term {
+            self.keep(sample);
+        }
+    }
+
+    fn keep(&mut self, sample: Sample) {
+        let is_ordered = self.kept.back().is_none_or(|last| {
+            sample.position.lsn >= last.position.lsn && sample.asked_at >= last.asked_at + SPACING
+        });
         if !is_ordered {
             return;
         }
@@ -79,11 +105,10 @@
         }
     }
 
-    /// The lowest position that makes a copy fresh enough for a read that arrived at `arrival`.
+    /// The lowest position that covers every commit acknowledged before `since`.
     #[must_use]
-    pub fn floor(&self, arrival: Time, max_age: Duration) -> Option<Position> {
-        let oldest = arrival - max_age;
-        self.kept.iter().find(|s| s.asked_at >= oldest).map(|s| s.position)
+    pub fn floor(&self, since: Time) -> Option<Position> {
+        self.kept.iter().find(|s| s.asked_at >= since).map(|s| s.position)
     }
 
     /// Whether a new sample is due for later reads that may be `max_age` old.
--- a/crates/persimmon-ports/src/protocol.rs
+++ b/crates/persimmon-ports/src/protocol.rs
@@ -169,10 +169,8 @@
     },
     /// Asks for the instance's state.
     Status,
-    /// Stops a replica from receiving, under a term above the newest one.
+    /// Stops a replica from receiving until the next promotion, under a term above the newest one.
     Pause(Term),
-    /// Lets a replica receive again.
-    Resume,
 }
 
 /// What an instance reports of itself.
--- /dev/null
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -0,0 +1,87 @@
+//! Runs seeds of the soak by hand.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gumdrop::Options as _;
+use persimmon_soak::{Options, run};
+
+/// Runs the fault soak over consecutive seeds; keeps the logs of those that fail.
+#[derive(Debug, gumdrop::Options)]
+struct Arguments {
+    /// print this help and exit
+    help: bool,
+    /// the first seed
+    #[options(default = "1")]
+    seed: u64,
+    /// how many seeds
+    #[options(default = "1")]
+    runs: u64,
+    /// how long faults come in each run, in seconds
+    #[options(default = "12")]
+    length: u64,
+    /// daemons
+    #[options(default = "4")]
+    daemons: u16,
+    /// groups of three instances
+    #[options(default = "2")]
+    groups: usize,
+    /// callers
+    #[options(default = "16")]
+    callers: u64,
+    /// print the plan of each run
+    plan: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Arguments::parse_args_default_or_exit();
+    let mut failed = Vec::new();
+    for seed in args.seed..args.seed + args.runs {
+        let folder: PathBuf = std::env::temp_dir().join(format!("soak-{seed}"));
+        let options = Options {
+            seed,
+            length: Duration::from_secs(args.length),
+            daemons: args.daemons,
+            groups: args.groups,
+            callers: args.callers,
+            folder: folder.clone(),
+        };
+        let report = match run(&options) {
+            Ok(report) => report,
+            Err(err) => {
+                eprintln!("seed {seed}: {err}");
+                return ExitCode::FAILURE;
+            }
+        };
+        let count = |counter: &std::sync::atomic::AtomicU64| counter.load(Ordering::Relaxed);
+        println!(
+            "seed {seed}: {} faults, served {}, not run {}, in doubt {}, sessions broken {}, \
+             violations {}",
+            report.plan.steps.len(),
+            count(&report.tally.served),
+            count(&report.tally.promised),
+            count(&report.tally.in_doubt),
+            count(&report.tally.broken),
+            report.violations.len(),
+        );
+        if args.plan {
+            for step in &report.plan.steps {
+                println!("  {step:?}");
+            }
+        }
+        if report.violations.is_empty() {
+            // Logs of a run that went well explain nothing; what is left harms nothing.
+            let _ = std::fs::remove_dir_all(&folder);
+            continue;
+        }
+        for violation in report.violations.iter().take(10) {
+            println!("  {violation}");
+        }
+        println!("  logs: {}", folder.display());
+        failed.push(seed);
+    }
+    println!("{} passed, {} failed", args.runs - failed.len() as u64, failed.len());
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
