Replicas that were stopped get their promotion; connections linger by the instance's refusals

Cause: with synchronous replication a daemon that stopped the replicas and then found the primary alive left them stopped, and the primary could acknowledge nothing more. Change: once stopped, a promotion follows; the linger of idle connections halves with a refusal and grows without one.

--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -281,13 +281,13 @@
                 continue;
             }
             let limit = host.keep.limit(now);
-            let surplus_idle = host.keep.surplus_idle(now);
+            let linger = host.keep.linger(now);
             // The most lately used stand at the end.
             let surplus = host.idle.len().saturating_sub(limit);
             let mut index = 0;
             host.idle.retain(|link| {
                 let idle_for = now.since(link.used_at);
-                let is_surplus = index < surplus && idle_for > surplus_idle;
+                let is_surplus = index < surplus && idle_for > linger;
                 index += 1;
                 link.is_at_rest() && !is_surplus && idle_for < IDLE_LIMIT
             });
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -169,6 +169,8 @@
     lease: Duration,
     may_act_at: Time,
     is_synchronous: bool,
+    /// Whether replicas may have been told to stop receiving; only a promotion lets them go on.
+    has_stopped: bool,
     primary: Option<Arc<str>>,
 }
 
@@ -183,6 +185,7 @@
             lease: Duration::ZERO,
             may_act_at: Time::ZERO,
             is_synchronous: false,
+            has_stopped: false,
             primary: None,
         }
     }
@@ -241,7 +244,10 @@
             Input::Suspected(id) => self.suspected(now, sight, &id, actions),
             Input::Probed(findings) => self.probed(now, sight, &findings, actions),
             Input::Canvassed { failing, answered } => self.canvassed(now, failing, answered),
-            Input::Asked(asked) => self.asked(now, sight, &asked, actions),
+            Input::Asked(asked) => {
+                self.has_stopped |= self.is_synchronous;
+                self.asked(now, sight, &asked, actions);
+            }
             Input::Claimed { token } => self.claimed(now, token, actions),
             Input::NotClaimed => self.pause(now),
             Input::Accepted => {}
@@ -305,7 +311,7 @@
             State::Ordered { need, candidate, check_at, repeat_at, .. } => {
                 if sight.primary.as_ref() == Some(candidate) {
                     // It has said so itself; whether it still lives is another question.
-                    self.state = State::Calm;
+                    self.calm();
                     return;
                 }
                 if now >= *repeat_at {
@@ -355,7 +361,7 @@
         match &self.state {
             State::Ordered { old, .. } => {
                 if leader.is_some() && leader != old.as_ref() {
-                    self.state = State::Calm;
+                    self.calm();
                 }
             }
             State::Doubting { need, .. } => {
@@ -373,11 +379,16 @@
     fn leader_answers(&mut self, now: Time, sight: &Sight, need: Need, leader: &Arc<str>) {
         let is_planned = matches!(need, Need::Draining | Need::Missing);
         let is_same = sight.primary.as_ref() == Some(leader);
-        if is_planned && is_same && Self::need(sight).is_some() {
+        if is_same && (self.has_stopped || is_planned && Self::need(sight).is_some()) {
             self.confirm(now, need);
             return;
         }
+        self.calm();
+    }
+
+    fn calm(&mut self) {
         self.state = State::Calm;
+        self.has_stopped = false;
     }
 
     fn no_leader_answers(
@@ -489,7 +500,7 @@
             let is_current = leader.status.map(|s| s.term) == newest;
             let is_leaving = is_planned && Some(&leader.id) == old.as_ref();
             if is_current && !is_leaving {
-                self.state = State::Calm;
+                self.calm();
                 return;
             }
         }
--- a/crates/persimmon-lead/tests/duty.rs
+++ b/crates/persimmon-lead/tests/duty.rs
@@ -273,6 +273,23 @@
     assert_eq!(play.input(3_200, Input::Tick), [Action::Ask]);
 }
 
+#[test]
+fn replicas_that_were_stopped_get_a_promotion_even_if_the_primary_turns_out_to_live() {
+    let mut play = Play::holder(sight("a"));
+    play.duty.set_synchronous(true);
+    play.confirm_dead();
+    let unknown = vec![status("b", Role::Replica, 3, 90), silent("c")];
+    assert_eq!(play.input(210, Input::Asked(unknown)), []);
+    assert_eq!(play.input(450, Input::Tick), [Action::Probe]);
+
+    assert_eq!(play.input(460, findings(Finding::Leads, Finding::Follows, Finding::Follows)), []);
+
+    assert_eq!(play.input(500, Input::Tick), [Action::Ask]);
+    let known = vec![status("b", Role::Replica, 3, 90), status("c", Role::Replica, 3, 91)];
+    let ordered = play.input(510, Input::Asked(known));
+    assert_eq!(ordered, [Action::Order { candidate: id("c"), token: 7 }]);
+}
+
 #[test]
 fn with_synchronous_replication_every_replica_must_have_answered() {
     let known = [silent("a"), status("b", Role::Replica, 3, 90), silent("c")];
--- a/crates/persimmon-place/src/connections.rs
+++ b/crates/persimmon-place/src/connections.rs
@@ -1,8 +1,8 @@
 //! How many idle connections a daemon keeps to one instance.
 //!
 //! The cap of an instance is shared by all daemons. Each keeps its share of half the cap when idle;
-//! the other half is lent to whoever needs it. Where the share is less than one connection, an idle
-//! one is closed soon, and so it is for some time after an instance refused a new one.
+//! the other half is lent to whoever needs it. Connections beyond the share linger for a time that
+//! follows the instance's refusals.
 
 use std::time::Duration;
 
@@ -14,25 +14,39 @@
 /// How long an instance counts as short of connections after a refusal.
 const SCARCE_FOR: Duration = Duration::from_secs(10);
 
-/// Idle connections beyond the number kept are closed after this long.
-const SURPLUS_IDLE: Duration = Duration::from_millis(1_500);
+/// Idle connections beyond the number kept are closed after this long, while none is refused.
+const LINGER_MAX: Duration = Duration::from_millis(1_500);
 
-/// The same while the instance is short of connections: long enough for the next statement of a
-/// busy session, short enough for other daemons.
-const SURPLUS_IDLE_SCARCE: Duration = Duration::from_millis(60);
+/// The least such time: a busy session's next statement still finds the connection.
+const LINGER_MIN: Duration = Duration::from_millis(60);
 
-/// How many idle connections to one instance are kept.
-#[derive(Clone, Copy, Debug, Default)]
+/// How often the time grows while no connection is refused.
+const GROW_EVERY: Duration = Duration::from_millis(500);
+
+/// Refusals closer together than this are one signal: they answer the same shortage.
+const REFUSALS_TOGETHER: Duration = Duration::from_millis(100);
+
+/// How many idle connections to one instance are kept, and how long the others linger.
+#[derive(Clone, Copy, Debug)]
 pub struct Keep {
     share: usize,
+    linger: Duration,
+    changed_at: Time,
     refused_at: Option<Time>,
 }
 
+impl Default for Keep {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Keep {
     /// Keeps nothing until the share is known.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        let linger = LINGER_MAX / 4;
+        Self { share: 0, linger, changed_at: Time::ZERO, refused_at: None }
     }
 
     /// Says how many connections the instance takes, and how many daemons share them.
@@ -56,14 +70,24 @@
         self.refused_at.is_some_and(|at| now.since(at) < SCARCE_FOR)
     }
 
-    /// How long an idle connection beyond the number kept stays open.
-    #[must_use]
-    pub fn surplus_idle(&self, now: Time) -> Duration {
-        if self.is_scarce(now) { SURPLUS_IDLE_SCARCE } else { SURPLUS_IDLE }
+    /// How long an idle connection beyond the number kept stays open. The time halves with a
+    /// refusal and grows without one, so that a connection that is dear to open is used again as
+    /// long as nobody else wants it.
+    pub fn linger(&mut self, now: Time) -> Duration {
+        if now.since(self.changed_at) >= GROW_EVERY {
+            self.linger = (self.linger * 5 / 4).min(LINGER_MAX);
+            self.changed_at = now;
+        }
+        self.linger
     }
 
     /// Takes in that the instance refused a connection for its cap.
     pub fn refused(&mut self, now: Time) {
+        let is_new = self.refused_at.is_none_or(|at| now.since(at) >= REFUSALS_TOGETHER);
         self.refused_at = Some(now);
+        if is_new {
+            self.linger = (self.linger / 2).max(LINGER_MIN);
+            self.changed_at = now;
+        }
     }
 }
--- a/crates/persimmon-place/tests/placing.rs
+++ b/crates/persimmon-place/tests/placing.rs
@@ -150,11 +150,27 @@
 fn a_refusal_gives_idle_connections_back_for_some_time() {
     let mut keep = Keep::new();
     keep.set_share(140, 15);
-    let before = keep.limit(at(0));
+    let (before, lingered) = (keep.limit(at(0)), keep.linger(at(0)));
 
     keep.refused(at(0));
 
     assert!(keep.limit(at(1)) < before);
-    assert!(keep.surplus_idle(at(1)) < Duration::from_millis(200));
+    assert!(keep.linger(at(1)) < lingered);
     assert_eq!(keep.limit(at(10_001)), before);
 }
+
+#[test]
+fn connections_linger_longer_while_none_is_refused() {
+    let mut keep = Keep::new();
+    for ms in (0..2_000).step_by(200) {
+        keep.refused(at(ms));
+    }
+    let short = keep.linger(at(2_000));
+
+    for ms in (2_000..30_000).step_by(100) {
+        keep.linger(at(ms));
+    }
+
+    assert!(short < Duration::from_millis(100), "{short:?}");
+    assert!(keep.linger(at(30_000)) > Duration::from_secs(1));
+}
