--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -118,7 +118,7 @@
 
     /// Whether connections to an instance are fewer than daemons, or refused lately.
     pub(crate) fn is_scarce(&self, id: &str, now: Time) -> bool {
-        self.hosts.borrow().get(id).is_none_or(|h| h.keep.is_scarce(now))
+        self.hosts.borrow().get(id).is_some_and(|h| h.keep.is_scarce(now))
     }
 
     /// Reads or changes what is known of an instance's load.
