--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -284,6 +284,26 @@
         Err(unavailable)
     }
 
+    /// Whether this daemon's share allows for a connection that is open before it is needed, and
+    /// none is.
+    fn wants_warm(&self, instance: &Instance, cap: u32, now: Time) -> bool {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.entry(Arc::clone(&instance.id)).or_default();
+        host.keep.set_share(cap as usize, self.peers.count() + 1);
+        let has_none = host.idle.is_empty() && host.lent + host.opening == 0;
+        has_none && host.keep.limit(now) > 0 && !host.load.is_avoided(now)
+    }
+
+    /// Opens a connection to an instance before it is needed.
+    pub(crate) async fn warm(self: &Rc<Self>, instance: &Arc<Instance>, cap: u32) {
+        let now = Clock.now();
+        if !self.wants_warm(instance, cap, now) {
+            return;
+        }
+        // A connection that cannot be opened now is opened when it is needed.
+        let _ = self.acquire(instance, None, cap, now + OPEN_LIMIT).await;
+    }
+
     /// Closes connections that have been idle for long, or that belong to instances that are gone.
     pub(crate) fn sweep(&self, now: Time, is_listed: impl Fn(&str) -> bool) {
         let mut hosts = self.hosts.borrow_mut();
@@ -302,7 +322,8 @@
                 let idle_for = now.since(link.used_at);
                 let is_surplus = index < surplus && idle_for > linger;
                 index += 1;
-                link.is_at_rest() && !is_surplus && idle_for < IDLE_LIMIT
+                let is_last = surplus == 0 && limit > 0 && index == 1;
+                link.is_at_rest() && !is_surplus && (is_last || idle_for < IDLE_LIMIT)
             });
         }
     }
--- a/crates/persimmon-front/src/traffic.rs
+++ b/crates/persimmon-front/src/traffic.rs
@@ -10,6 +10,7 @@
 
 use persimmon_ports::{CallerProtocol, InstanceProtocol};
 use persimmon_types::Clock;
+use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
@@ -28,6 +29,9 @@
 /// How often idle connections are looked over.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
+/// How often instances without a connection are looked for.
+const WARM_EVERY: Duration = Duration::from_millis(2_000);
+
 /// Connections that an instance is taken to accept while the table says nothing of its service.
 const UNKNOWN_CAP: u32 = 8;
 
@@ -179,6 +183,7 @@
             sampling.sample_for_peers(&service);
         }
     });
+    ntex::rt::spawn(keep_warm(Rc::clone(worker)));
     let sweeping = Rc::clone(worker);
     ntex::rt::spawn(async move {
         loop {
@@ -193,3 +198,20 @@
     });
     Ok(())
 }
+
+/// Keeps a connection open to each instance as far as the daemon's share allows, so that neither the
+/// first callers nor those of a new primary wait for a greeting.
+async fn keep_warm(worker: Rc<Worker>) {
+    loop {
+        let view = worker.view();
+        for listed in view.services.values().flatten() {
+            if !listed.takes_work() {
+                continue;
+            }
+            let cap = worker.cap(&listed.instance.service);
+            worker.pool.warm(&listed.instance, cap).await;
+        }
+        // Daemons that start together do not greet an instance together.
+        tokio::time::sleep(WARM_EVERY.mul_f64(rand::rng().random_range(0.5..1.5))).await;
+    }
+}
