--- a/crates/persimmon-place/src/gate.rs
+++ b/crates/persimmon-place/src/gate.rs
@@ -47,6 +47,12 @@
 /// The time over which work sent is averaged.
 const MEMORY: Duration = Duration::from_secs(2);
 
+/// The rate of a daemon that has just begun is taken over at least this time.
+const LEAST_AGE: Duration = Duration::from_millis(300);
+
+/// The growth since the last change counts at most so many times.
+const MOST_STEPS: f64 = 8.0;
+
 /// A budget this many times what is asked for holds nothing back and is dropped.
 const AMPLE: f64 = 3.0;
 
@@ -72,6 +78,7 @@
     /// Work sent lately, decaying over [`MEMORY`].
     sent: f64,
     sent_at: Time,
+    began: Option<Time>,
     wait_ms: f64,
     waited_at: Time,
     changed_at: Time,
@@ -100,7 +107,9 @@
         let passed = now.since(self.sent_at).as_secs_f64() / MEMORY.as_secs_f64();
         self.sent *= (-passed).exp();
         self.sent_at = now;
-        self.sent / MEMORY.as_secs_f64()
+        // A daemon that has just begun has not filled its memory yet.
+        let age = now.since(*self.began.get_or_insert(now)).as_secs_f64();
+        self.sent / MEMORY.as_secs_f64().min(age.max(LEAST_AGE.as_secs_f64()))
     }
 
     fn refill(&mut self, now: Time, budget: f64) {
@@ -181,9 +190,11 @@
     }
 
     fn grow(&mut self, now: Time, budget: f64) {
+        let passed = now.since(self.changed_at).as_secs_f64() / CHANGE_EVERY.as_secs_f64();
         self.changed_at = now;
         let hardly_waits = self.wait_ms < WAIT_TARGET_MS / 3.0;
-        let grown = if hardly_waits { budget * GROW_FAST } else { budget * GROW };
+        let step = if hardly_waits { GROW_FAST } else { GROW };
+        let grown = budget * step.powf(passed.clamp(1.0, MOST_STEPS));
         let asked = self.sent_rate(now).max(LEAST_BUDGET);
         self.budget = (grown < asked * AMPLE).then_some(grown);
     }
