--- a/crates/persimmon-front/src/session.rs
+++ b/crates/persimmon-front/src/session.rs
@@ -476,6 +476,7 @@
             attempts,
             after: None,
             failure: None,
+            budget: None,
             retry_after: RETRY_AFTER,
         };
         match ended {
@@ -593,7 +594,7 @@
             failure = carried.failure.as_ref().map(|f| format!("{f:?}")),
             code = code.map(|c| format!("{c:?}")),
             ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-            retry_after_ms = u64::try_from(carried.retry_after.as_millis()).unwrap_or(u64::MAX),
+            budget_ms_per_s = carried.budget.map(f64::round),
             outcome, "request"
         );
     }
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -116,6 +116,9 @@
     pub(crate) after: Option<Position>,
     /// The last failure.
     pub(crate) failure: Option<Failure>,
+    /// The budget of new work at the instance, in milliseconds of slots a second, if it held the
+    /// statement back.
+    pub(crate) budget: Option<f64>,
     /// When the caller may come back, if the statement was held back.
     pub(crate) retry_after: Duration,
 }
@@ -157,6 +160,7 @@
             attempts: 0,
             after: None,
             failure: None,
+            budget: None,
             retry_after: RETRY_AFTER,
         };
         let mut tried: Vec<Arc<str>> = Vec::new();
@@ -173,6 +177,7 @@
                 Held::TooLong(retry_after) => {
                     Metrics::add(&self.metrics.held_back);
                     carried.retry_after = retry_after;
+                    carried.budget = self.pool.gate(&instance.id, |gate| gate.budget());
                     tried.push(Arc::clone(&instance.id));
                     let instances = self.view().instances(&job.route.service).len();
                     if !carried.mode.needs_primary() && tried.len() < instances {
--- a/crates/persimmon-lab/src/proxy.rs
+++ b/crates/persimmon-lab/src/proxy.rs
@@ -68,6 +68,8 @@
         server.set_nodelay(true)?;
         {
             let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+            // Streams that have ended would otherwise hold their descriptors for the whole run.
+            streams.retain(|stream| stream.peer_addr().is_ok());
             streams.push(client.try_clone()?);
             streams.push(server.try_clone()?);
         }
--- a/crates/persimmon-lab/src/seam/instance.rs
+++ b/crates/persimmon-lab/src/seam/instance.rs
@@ -102,7 +102,10 @@
     fn session(&self, stream: &TcpStream, id: &str, count: usize) -> io::Result<()> {
         stream.set_nodelay(true)?;
         if let Ok(clone) = stream.try_clone() {
-            self.shared.streams.lock().unwrap_or_else(PoisonError::into_inner).push(clone);
+            let mut streams = self.shared.streams.lock().unwrap_or_else(PoisonError::into_inner);
+            // Streams that have ended would otherwise hold their descriptors for the whole run.
+            streams.retain(|stream| stream.peer_addr().is_ok());
+            streams.push(clone);
         }
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let mut out = stream.try_clone()?;
--- a/crates/persimmon-place/src/gate.rs
+++ b/crates/persimmon-place/src/gate.rs
@@ -91,10 +91,10 @@
         Self::default()
     }
 
-    /// The average wait, in milliseconds.
+    /// The budget in milliseconds of slots a second, while work is held back.
     #[must_use]
-    pub fn wait_ms(&self) -> f64 {
-        self.wait_ms
+    pub fn budget(&self) -> Option<f64> {
+        self.budget
     }
 
     /// Whether work is held back.
--- a/crates/persimmonctl/src/main.rs
+++ b/crates/persimmonctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `persimmonctl`, the operators' command.
 
 mod daemons;
+mod explain;
 mod table;
 mod timeline;
 
@@ -38,6 +39,8 @@
     Table(TableArguments),
     /// show the events of all daemons in one order
     Timeline(TimelineArguments),
+    /// show what daemons' logs say of one request
+    Explain(ExplainArguments),
 }
 
 #[derive(Debug, Options)]
@@ -102,6 +105,24 @@
     json: bool,
 }
 
+#[derive(Debug, Options)]
+struct ExplainArguments {
+    /// print this help and exit
+    help: bool,
+    /// the request's id, and the files of the logs
+    #[options(free, required)]
+    id_and_files: Vec<PathBuf>,
+}
+
+impl ExplainArguments {
+    fn run(&self) -> Result<(), Failure> {
+        let Some((id, files)) = self.id_and_files.split_first() else {
+            return Err(Failure::Other("an id and a file are required".to_owned()));
+        };
+        explain::print(&id.to_string_lossy(), files)
+    }
+}
+
 /// Why a command did not succeed.
 #[derive(Debug, Error)]
 pub(crate) enum Failure {
@@ -149,6 +170,7 @@
             None => return usage(TableArguments::usage()),
         },
         Some(Command::Timeline(timeline)) => timeline::print(&platform, timeline.json).await,
+        Some(Command::Explain(args)) => args.run(),
         None => return usage(Arguments::usage()),
     };
     match result {
