A daemon that does not know the fleet yet keeps no share of connections

Cause: after a restart of all, each of 122 daemons knew three seeds and kept eight idle connections to each instance, of 84 for all.

--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -49,7 +49,8 @@
 /// Questions of peers that control has not seen yet.
 const LOOKS: usize = 16;
 
-/// Rounds of [`ASK_EVERY`] after the start in which a peer is met, to learn of most others.
+/// Rounds of [`ASK_EVERY`] after the start in which a peer is met. Each names all that it knows, so
+/// that a few meetings are enough to learn of most others.
 const FIRST_MEETINGS: u32 = 6;
 
 /// Rounds between two meetings later on.
@@ -203,6 +204,9 @@
             meet_one(&control).await;
         }
         rounds = rounds.wrapping_add(1);
+        if rounds == FIRST_MEETINGS {
+            control.peers.settle();
+        }
         tokio::time::sleep(ASK_EVERY).await;
     }
 }
--- a/crates/persimmon-front/src/peer_list.rs
+++ b/crates/persimmon-front/src/peer_list.rs
@@ -1,6 +1,7 @@
 //! The daemons that this one has heard of.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use persimmon_types::rendezvous_weight;
@@ -13,13 +14,15 @@
 pub struct PeerList {
     me: SocketAddr,
     known: Mutex<Vec<SocketAddr>>,
+    /// Whether enough peers were met to know about how many there are.
+    is_settled: AtomicBool,
 }
 
 impl PeerList {
     /// Creates the list of a daemon that knows only the seeds.
     #[must_use]
     pub fn new(me: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let list = Self { me, known: Mutex::default() };
+        let list = Self { me, known: Mutex::default(), is_settled: AtomicBool::new(false) };
         for seed in seeds {
             list.note(*seed);
         }
@@ -58,10 +61,16 @@
         self.lock().retain(|p| *p != peer);
     }
 
-    /// How many peers are known.
+    /// Notes that enough peers were met.
+    pub fn settle(&self) {
+        self.is_settled.store(true, Ordering::Relaxed);
+    }
+
+    /// How many daemons share what is scarce, this one among them, once that is known: a daemon that
+    /// has just started knows the seeds only, and all may have started together.
     #[must_use]
-    pub fn count(&self) -> usize {
-        self.lock().len()
+    pub fn daemons(&self) -> Option<usize> {
+        self.is_settled.load(Ordering::Relaxed).then(|| self.lock().len() + 1)
     }
 
     /// Every known peer.
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -187,7 +187,7 @@
     fn may_open(&self, instance: &Instance, now: Time, cap: usize) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
-        host.keep.set_share(cap, self.peers.count() + 1);
+        host.keep.set_share(cap, self.peers.daemons());
         // One daemon alone must not take an instance's whole cap.
         let may = host.opening < OPENING_LIMIT
             && host.lent + host.opening < (cap / 2).max(1)
@@ -289,7 +289,7 @@
     fn wants_warm(&self, instance: &Instance, cap: u32, now: Time) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
-        host.keep.set_share(cap as usize, self.peers.count() + 1);
+        host.keep.set_share(cap as usize, self.peers.daemons());
         let has_none = host.idle.is_empty() && host.lent + host.opening == 0;
         has_none && host.keep.limit(now) > 0 && !host.load.is_avoided(now)
     }
--- a/crates/persimmon-place/src/connections.rs
+++ b/crates/persimmon-place/src/connections.rs
@@ -49,9 +49,9 @@
         Self { share: 0, linger, changed_at: Time::ZERO, refused_at: None }
     }
 
-    /// Says how many connections the instance takes, and how many daemons share them.
-    pub fn set_share(&mut self, cap: usize, daemons: usize) {
-        self.share = (cap / 2 / daemons.max(1)).min(MAX_KEPT);
+    /// Says how many connections the instance takes, and how many daemons share them, if known.
+    pub fn set_share(&mut self, cap: usize, daemons: Option<usize>) {
+        self.share = daemons.map_or(0, |d| (cap / 2 / d.max(1)).min(MAX_KEPT));
     }
 
     /// How many idle connections may be kept.
--- a/crates/persimmon-place/tests/placing.rs
+++ b/crates/persimmon-place/tests/placing.rs
@@ -140,16 +140,25 @@
 fn idle_connections_of_all_daemons_stay_below_the_cap() {
     for (cap, daemons) in [(71, 15), (140, 21), (84, 122), (296, 126), (1, 3)] {
         let mut keep = Keep::new();
-        keep.set_share(cap, daemons);
+        keep.set_share(cap, Some(daemons));
 
         assert!(keep.limit(at(0)) * daemons <= cap, "cap {cap}, daemons {daemons}");
     }
 }
 
+#[test]
+fn a_daemon_that_does_not_know_the_fleet_keeps_nothing() {
+    let mut keep = Keep::new();
+
+    keep.set_share(84, None);
+
+    assert_eq!(keep.limit(at(0)), 0);
+}
+
 #[test]
 fn a_refusal_gives_idle_connections_back_for_some_time() {
     let mut keep = Keep::new();
-    keep.set_share(140, 15);
+    keep.set_share(140, Some(15));
     let (before, lingered) = (keep.limit(at(0)), keep.linger(at(0)));
 
     keep.refused(at(0));
