--- a/crates/persimmon-front/src/control/duties.rs
+++ b/crates/persimmon-front/src/control/duties.rs
@@ -297,9 +297,8 @@
     let listed: Vec<Listed> = listed.iter().filter(is_asked).cloned().collect();
     let asked = running.links.ask(control, &listed, None).await;
     let newest = asked.iter().filter_map(|a| a.status.map(|s| s.term)).max();
-    let leads = |a: &Asked| {
-        a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest)
-    };
+    let leads =
+        |a: &Asked| a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest);
     let is_led = !is_planned && asked.iter().any(leads);
     if is_led || !running.duty.borrow().is_synchronous() {
         return asked;
--- a/crates/persimmon-front/src/control/follow.rs
+++ b/crates/persimmon-front/src/control/follow.rs
@@ -84,12 +84,7 @@
 }
 
 /// Watches until a call fails, and returns why.
-async fn watch(
-    control: &Control,
-    kind: Kind,
-    mut revision: u64,
-    pace: Duration,
-) -> StoreError {
+async fn watch(control: &Control, kind: Kind, mut revision: u64, pace: Duration) -> StoreError {
     let mut failures = Backoff(0);
     loop {
         match control.platform.store.watch(kind, revision, WATCH_WAIT).await {
--- a/crates/persimmon-front/src/control/inquiry.rs
+++ b/crates/persimmon-front/src/control/inquiry.rs
@@ -59,9 +59,9 @@
         control: &Control,
         listed: &[Listed],
     ) -> Vec<(Arc<str>, Finding)> {
-        let asked = listed.iter().map(|l| async {
-            (Arc::clone(&l.instance.id), self.probe_one(control, l).await)
-        });
+        let asked = listed
+            .iter()
+            .map(|l| async { (Arc::clone(&l.instance.id), self.probe_one(control, l).await) });
         join_all(asked).await
     }
 
--- a/crates/persimmon-front/src/control/mod.rs
+++ b/crates/persimmon-front/src/control/mod.rs
@@ -91,8 +91,13 @@
         if before.is_some_and(|version| version >= table.version) {
             return;
         }
-        tracing::info!(version = table.version, before, routes = table.routes.len(), source,
-            "a table is in force");
+        tracing::info!(
+            version = table.version,
+            before,
+            routes = table.routes.len(),
+            source,
+            "a table is in force"
+        );
         *self.table.borrow_mut() = Some(Arc::new(table));
         self.publish();
     }
--- a/crates/persimmon-front/src/control/peers.rs
+++ b/crates/persimmon-front/src/control/peers.rs
@@ -273,7 +273,8 @@
         tokio::time::timeout(CANVASS_LIMIT, asking).await.unwrap_or(Err(PeerError::TimedOut))
     });
     let answers = join_all(asked).await;
-    let count = |wanted| answers.iter().filter(|a| matches!(a, Ok(Some(w)) if *w == wanted)).count();
+    let count =
+        |wanted| answers.iter().filter(|a| matches!(a, Ok(Some(w)) if *w == wanted)).count();
     (count(false), count(true))
 }
 
--- a/crates/persimmon-front/src/directory.rs
+++ b/crates/persimmon-front/src/directory.rs
@@ -107,8 +107,8 @@
     fn put(&mut self, revision: u64, instance: Instance) -> bool {
         let entry = Entry { instance: Arc::new(instance), revision, missing_for: None };
         let before = self.entries.get(&entry.instance.id);
-        let changed = before
-            .is_none_or(|b| b.missing_for.is_some() || b.instance != entry.instance);
+        let changed =
+            before.is_none_or(|b| b.missing_for.is_some() || b.instance != entry.instance);
         if changed {
             let instance = &entry.instance;
             tracing::info!(
@@ -155,7 +155,6 @@
         !gone.is_empty()
     }
 
-
     /// The instances by service, in a fixed order.
     #[must_use]
     pub fn by_service(&self) -> HashMap<Arc<str>, Vec<Listed>> {
--- a/crates/persimmon-front/src/link.rs
+++ b/crates/persimmon-front/src/link.rs
@@ -217,8 +217,7 @@
         let values = wanted.values.unwrap_or(&empty);
         let has_foreign = self.values.keys().any(|name| !values.contains_key(name));
         // Inside a transaction the connection holds only what this session set.
-        let resets =
-            !self.has_transaction && (has_foreign || self.prepared.len() > PREPARED_LIMIT);
+        let resets = !self.has_transaction && (has_foreign || self.prepared.len() > PREPARED_LIMIT);
         let mut commands = Vec::new();
         if resets {
             commands.push(Command::Reset);
--- a/crates/persimmon-front/src/sampling.rs
+++ b/crates/persimmon-front/src/sampling.rs
@@ -57,11 +57,7 @@
     }
 
     /// The newest sample if it is young enough, or one that is taken now.
-    pub(crate) async fn wait(
-        &self,
-        service: &Arc<str>,
-        max_age: Duration,
-    ) -> Option<SharedSample> {
+    pub(crate) async fn wait(&self, service: &Arc<str>, max_age: Duration) -> Option<SharedSample> {
         let until = Clock.now() + ANSWER_LIMIT;
         loop {
             let added = self.added.notified();
--- a/crates/persimmon-front/src/session.rs
+++ b/crates/persimmon-front/src/session.rs
@@ -53,9 +53,19 @@
 enum Tx {
     None,
     /// Opened here; no instance knows of it yet.
-    Begun { is_read_only: bool, arrival: Time, route: Arc<Route> },
+    Begun {
+        is_read_only: bool,
+        arrival: Time,
+        route: Arc<Route>,
+    },
     /// Open on an instance.
-    Open { lease: Lease, route: Arc<Route>, has_written: bool, rests_since: Time, began: Time },
+    Open {
+        lease: Lease,
+        route: Arc<Route>,
+        has_written: bool,
+        rests_since: Time,
+        began: Time,
+    },
     /// Failed; it can only be ended.
     Failed,
 }
@@ -573,8 +583,7 @@
             let leader = self.worker.believed_leader(&route.service);
             let at = carried.instance.as_ref().map(|i| &i.id);
             let is_primary = leader.as_ref().map(|l| &l.id) == at;
-            let reads =
-                if is_primary { &metrics.primary_reads } else { &metrics.replica_reads };
+            let reads = if is_primary { &metrics.primary_reads } else { &metrics.replica_reads };
             Metrics::add(reads);
         }
         let has_failed = outcome != "served";
--- a/crates/persimmon-front/src/traffic.rs
+++ b/crates/persimmon-front/src/traffic.rs
@@ -139,8 +139,7 @@
 
     /// Tells control that a statement failed at a primary.
     pub(crate) fn suspect(&self, service: &Arc<str>, instance: &Arc<str>) {
-        let suspicion =
-            Suspicion { service: Arc::clone(service), instance: Arc::clone(instance) };
+        let suspicion = Suspicion { service: Arc::clone(service), instance: Arc::clone(instance) };
         // A full channel already holds a suspicion that control has not read.
         let _ = self.suspicions.try_send(suspicion);
     }
@@ -189,9 +188,8 @@
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
             let view = sweeping.view();
-            let is_listed = |id: &str| {
-                view.services.values().flatten().any(|l| &*l.instance.id == id)
-            };
+            let is_listed =
+                |id: &str| view.services.values().flatten().any(|l| &*l.instance.id == id);
             sweeping.pool.sweep(Clock.now(), is_listed);
             sweeping.reach.retain(is_listed);
         }
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -286,8 +286,7 @@
         let view = self.view();
         let leader = self.believed_leader(service).map(|l| Arc::clone(&l.id));
         let listed = view.instances(service);
-        let standings: Vec<_> =
-            listed.iter().map(|l| self.pool.standing(&l.instance.id)).collect();
+        let standings: Vec<_> = listed.iter().map(|l| self.pool.standing(&l.instance.id)).collect();
         let mut candidates = Vec::with_capacity(listed.len());
         for (index, (l, (load, is_connected))) in listed.iter().zip(&standings).enumerate() {
             let is_primary = leader.as_ref() == Some(&l.instance.id);
@@ -359,8 +358,7 @@
         let mut lease = match acquired {
             Ok(lease) => lease,
             Err(why) => {
-                let is_leader =
-                    self.believed_leader(service).is_some_and(|l| l.id == instance.id);
+                let is_leader = self.believed_leader(service).is_some_and(|l| l.id == instance.id);
                 if why.is_dead() {
                     self.reach.failed(&instance.id, Clock.now());
                 }
@@ -402,11 +400,8 @@
         let prepared = job.shape.and_then(|shape| link.prepared_name(shape));
         let forward = Command::Forward { query: job.query, prepared: prepared.as_deref(), after };
         let sent_at = Clock.now();
-        let sent = if ends {
-            link.send(&[forward, Command::Rollback])
-        } else {
-            link.send(&[forward])
-        };
+        let sent =
+            if ends { link.send(&[forward, Command::Rollback]) } else { link.send(&[forward]) };
         let answered = match sent {
             Ok(()) => link.answer(limit).await,
             Err(err) => Err(err),
@@ -438,8 +433,7 @@
     ) {
         let took_ms = took.as_secs_f64() * 1_000.0;
         let mut means = self.means.borrow_mut();
-        let mean =
-            means.entry(Arc::clone(&job.route.database)).or_insert(UNKNOWN_MEAN_MS);
+        let mean = means.entry(Arc::clone(&job.route.database)).or_insert(UNKNOWN_MEAN_MS);
         let relative = took_ms / mean.max(1.0);
         let has_failed = matches!(answer.code(), Some(Code::Failed | Code::TimedOut));
         let wait_ms = took_ms - *mean;
--- a/crates/persimmon-lab/src/lib.rs
+++ b/crates/persimmon-lab/src/lib.rs
@@ -12,8 +12,8 @@
 mod pgclient;
 pub mod platform;
 pub mod process;
-pub mod seam;
 pub mod proxy;
+pub mod seam;
 pub mod writers;
 
 // The slopes run a kernel with every plug-in that the daemon has.
--- a/crates/persimmon-lab/src/seam/group.rs
+++ b/crates/persimmon-lab/src/seam/group.rs
@@ -198,7 +198,12 @@
     }
 
     /// Appends writes if the instance still leads the term.
-    pub(crate) fn commit(&self, copy: usize, term: u64, writes: &[(String, String, String)]) -> bool {
+    pub(crate) fn commit(
+        &self,
+        copy: usize,
+        term: u64,
+        writes: &[(String, String, String)],
+    ) -> bool {
         let mut state = self.lock();
         if state.primary != Some(copy) || state.term != term || !state.copies[copy].is_up {
             return false;
@@ -211,7 +216,8 @@
                 state.violations.push(violation);
             }
             if state.promised_not_kept.contains(id) {
-                let violation = format!("{}: request {id} was committed after a promise", self.name);
+                let violation =
+                    format!("{}: request {id} was committed after a promise", self.name);
                 state.violations.push(violation);
             }
             let (id, item, data) = (id.clone(), item.clone(), data.clone());
--- a/crates/persimmon-lab/src/seam/instance.rs
+++ b/crates/persimmon-lab/src/seam/instance.rs
@@ -348,9 +348,8 @@
         let own = self.tx.as_ref().and_then(|tx| {
             tx.writes.iter().rev().find(|(_, i, _)| i == item).map(|(_, _, data)| data.clone())
         });
-        let value = server.occupy(|| {
-            own.unwrap_or_else(|| group.read(group.seen(server.copy).applied, item))
-        });
+        let value = server
+            .occupy(|| own.unwrap_or_else(|| group.read(group.seen(server.copy).applied, item)));
         Ok((vec![value], self.sign()))
     }
 
@@ -369,8 +368,8 @@
             return Ok((Vec::new(), self.sign()));
         }
         let server = self.server;
-        let done =
-            server.occupy(|| server.group.commit(server.copy, seen.term, std::slice::from_ref(&write)));
+        let done = server
+            .occupy(|| server.group.commit(server.copy, seen.term, std::slice::from_ref(&write)));
         if done { Ok((Vec::new(), self.sign())) } else { Err(("READONLY", self.id.clone())) }
     }
 
--- a/crates/persimmon-lab/src/seam/mod.rs
+++ b/crates/persimmon-lab/src/seam/mod.rs
@@ -105,8 +105,7 @@
         let mut routes = Vec::new();
         let mut services = Vec::new();
         for (number, (group, _)) in self.groups.iter().enumerate() {
-            let kinds =
-                [("p", "primary"), ("b", "bounded_staleness"), ("r", "read_your_writes")];
+            let kinds = [("p", "primary"), ("b", "bounded_staleness"), ("r", "read_your_writes")];
             for (prefix, kind) in kinds {
                 routes.push(route(&format!("{prefix}{number}"), kind, &group.name));
             }
--- a/crates/persimmon-lab/src/seam/store.rs
+++ b/crates/persimmon-lab/src/seam/store.rs
@@ -1,7 +1,5 @@
 //! The object store and the authority that promotes, over HTTP.
 
-#![allow(missing_docs, reason = "the route attributes make items without documentation")]
-
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -200,14 +198,20 @@
         }
     }
 
-    async fn write(&self, kind: &str, name: &str, expect: Option<u64>, spec: Value) -> HttpResponse {
+    async fn write(
+        &self,
+        kind: &str,
+        name: &str,
+        expect: Option<u64>,
+        spec: Value,
+    ) -> HttpResponse {
         if let Some(refused) = self.admit() {
             return refused;
         }
         let key = (kind.to_owned(), name.to_owned());
         let current = self.lock().objects.get(&key).cloned();
         if current.as_ref().map(|o| o.revision) != expect {
-            let held = current.map(|o| body(name, &o)).unwrap_or(Value::Null);
+            let held = current.map_or(Value::Null, |o| body(name, &o));
             return HttpResponse::Conflict().json(&held);
         }
         self.put(kind, name, spec);
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -144,11 +144,29 @@
 enum State {
     Calm,
     /// The holder of the duty is left to act first.
-    Waiting { need: Need, look_at: Time },
-    Doubting { need: Need, refused: u32, silent: u32, probe_at: Time },
-    Confirmed { need: Need, since: Time, act_at: Time },
-    Claiming { need: Need, since: Time },
-    Asking { need: Need, since: Time },
+    Waiting {
+        need: Need,
+        look_at: Time,
+    },
+    Doubting {
+        need: Need,
+        refused: u32,
+        silent: u32,
+        probe_at: Time,
+    },
+    Confirmed {
+        need: Need,
+        since: Time,
+        act_at: Time,
+    },
+    Claiming {
+        need: Need,
+        since: Time,
+    },
+    Asking {
+        need: Need,
+        since: Time,
+    },
     Ordered {
         need: Need,
         old: Option<Arc<str>>,
@@ -359,10 +377,8 @@
     ) {
         let leader = findings.iter().find(|(_, f)| *f == Finding::Leads).map(|(id, _)| id);
         match &self.state {
-            State::Ordered { old, .. } => {
-                if leader.is_some() && leader != old.as_ref() {
-                    self.calm();
-                }
+            State::Ordered { old, .. } if leader.is_some() && leader != old.as_ref() => {
+                self.calm();
             }
             State::Doubting { need, .. } => {
                 let need = *need;
--- a/crates/persimmon-lead/tests/duty.rs
+++ b/crates/persimmon-lead/tests/duty.rs
@@ -106,10 +106,7 @@
     for round in 1..30 {
         let silent = findings(Finding::Silent, Finding::Follows, Finding::Follows);
         assert_eq!(play.input(round * 400, silent), [Action::Canvass]);
-        assert_eq!(
-            play.input(round * 400 + 50, Input::Canvassed { failing: 0, answered: 0 }),
-            []
-        );
+        assert_eq!(play.input(round * 400 + 50, Input::Canvassed { failing: 0, answered: 0 }), []);
         assert_eq!(play.input(round * 400 + 300, Input::Tick), [Action::Probe]);
     }
 
--- a/crates/persimmon-place/src/connections.rs
+++ b/crates/persimmon-place/src/connections.rs
@@ -45,7 +45,7 @@
     /// Keeps nothing until the share is known.
     #[must_use]
     pub fn new() -> Self {
-        let linger = LINGER_MAX / 4;
+        let linger = LINGER_MIN * 2;
         Self { share: 0, linger, changed_at: Time::ZERO, refused_at: None }
     }
 
--- a/crates/persimmon-place/src/gate.rs
+++ b/crates/persimmon-place/src/gate.rs
@@ -129,7 +129,8 @@
             return Admission::Now;
         };
         self.refill(now, budget);
-        let kept = if priority >= ORDINARY_PRIORITY { budget * BURST.as_secs_f64() / 4.0 } else { 0.0 };
+        let kept =
+            if priority >= ORDINARY_PRIORITY { budget * BURST.as_secs_f64() / 4.0 } else { 0.0 };
         let lacking = kept - self.tokens;
         if lacking >= 0.0 {
             return Admission::After(Duration::from_secs_f64((lacking + 0.1) / budget));
