--- a/crates/persimmon-lab/src/seam/group.rs
+++ b/crates/persimmon-lab/src/seam/group.rs
@@ -44,6 +44,8 @@
 struct Copy {
     /// Entries received; the primary's is the length of the log.
     received: usize,
+    /// Entries applied while it led, which it does not take back when it loses the lead.
+    kept: usize,
     is_up: bool,
     is_deaf: bool,
     born: u64,
@@ -86,7 +88,7 @@
     /// Creates a group whose first copy leads the first term.
     #[must_use]
     pub fn new(name: &str, copies: usize, work: Work) -> Self {
-        let copy = Copy { received: 0, is_up: true, is_deaf: false, born: 1 };
+        let copy = Copy { received: 0, kept: 0, is_up: true, is_deaf: false, born: 1 };
         Self {
             name: name.to_owned(),
             work,
@@ -176,7 +178,10 @@
     }
 
     pub(crate) fn seen(&self, copy: usize) -> Seen {
-        let state = self.lock();
+        self.seen_in(&self.lock(), copy)
+    }
+
+    fn seen_in(&self, state: &State, copy: usize) -> Seen {
         let leads = state.primary == Some(copy);
         let received = if leads { state.log.len() } else { state.copies[copy].received };
         let visible = Instant::now().checked_sub(self.work.lag);
@@ -184,17 +189,21 @@
             received
         } else {
             let is_old = |e: &&Entry| visible.is_some_and(|at| e.at <= at);
-            state.log[..received].iter().take_while(is_old).count()
+            let by_age = state.log[..received].iter().take_while(is_old).count();
+            by_age.max(state.copies[copy].kept.min(received))
         };
         Seen { leads, term: state.term, received, applied, is_up: state.copies[copy].is_up }
     }
 
-    /// The value of an item in the first `applied` entries.
-    pub(crate) fn read(&self, applied: usize, item: &str) -> String {
+    /// The value of an item at an instance; none if it had to lead this term and does not.
+    pub(crate) fn read(&self, copy: usize, must_lead: Option<u64>, item: &str) -> Option<String> {
         let state = self.lock();
-        let applied = applied.min(state.log.len());
-        let entry = state.log[..applied].iter().rev().find(|e| e.item == item);
-        entry.map_or_else(|| "-".to_owned(), |e| e.data.clone())
+        let seen = self.seen_in(&state, copy);
+        if must_lead.is_some_and(|term| !seen.leads || seen.term != term) {
+            return None;
+        }
+        let entry = state.log[..seen.applied].iter().rev().find(|e| e.item == item);
+        Some(entry.map_or_else(|| "-".to_owned(), |e| e.data.clone()))
     }
 
     /// Appends writes if the instance still leads the term.
@@ -265,6 +274,10 @@
     if !state.copies[copy].is_up || state.primary == Some(copy) {
         return;
     }
+    if let Some(old) = state.primary {
+        state.copies[old].received = state.log.len();
+        state.copies[old].kept = state.log.len();
+    }
     let received = state.copies[copy].received;
     let lost: Vec<Entry> = state.log.drain(received..).collect();
     for entry in lost {
@@ -277,6 +290,7 @@
     state.primary = Some(copy);
     for other in &mut state.copies {
         other.received = other.received.min(received);
+        other.kept = other.kept.min(received);
         if other.is_up && !other.is_deaf {
             other.received = received;
         }
--- a/crates/persimmon-lab/src/seam/instance.rs
+++ b/crates/persimmon-lab/src/seam/instance.rs
@@ -344,13 +344,15 @@
         }
         self.note_session(id);
         let server = self.server;
-        let group = &server.group;
         let own = self.tx.as_ref().and_then(|tx| {
             tx.writes.iter().rev().find(|(_, i, _)| i == item).map(|(_, _, data)| data.clone())
         });
-        let value = server
-            .occupy(|| own.unwrap_or_else(|| group.read(group.seen(server.copy).applied, item)));
-        Ok((vec![value], self.sign()))
+        let must_lead = self.tx.as_ref().filter(|tx| !tx.is_read_only).map(|tx| tx.term);
+        let read = server.occupy(|| server.group.read(server.copy, must_lead, item));
+        let Some(value) = read else {
+            return Err(("READONLY", self.id.clone()));
+        };
+        Ok((vec![own.unwrap_or(value)], self.sign()))
     }
 
     fn write(&mut self, id: &str, item: &str, data: &str) -> Answered {
--- a/crates/persimmon-lead/src/lib.rs
+++ b/crates/persimmon-lead/src/lib.rs
@@ -10,7 +10,9 @@
 mod candidate;
 mod duty;
 mod record;
+mod signal;
 
 pub use candidate::{Asked, choose_candidate};
-pub use duty::{Action, Duty, Finding, Input, Need, Sight};
+pub use duty::Duty;
 pub use record::DutyRecord;
+pub use signal::{Action, Finding, Input, Need, Sight};
--- a/crates/persimmond/tests/platform.rs
+++ b/crates/persimmond/tests/platform.rs
@@ -107,7 +107,7 @@
 
             // A bounded route promises only an age; the other two promise this write.
             if database != "b0" {
-                assert_eq!(read.rows, [data.clone()], "{database}: {read:?}");
+                assert_eq!(read.rows, std::slice::from_ref(&data), "{database}: {read:?}");
             }
             assert_eq!(read.state, "I");
         }
