A first listing may be stale; the directory is watched more calmly

Cause: store calls are the largest price of the grown sites, most of them watches that end while instances register.

--- a/crates/persimmon-front/src/control/follow.rs
+++ b/crates/persimmon-front/src/control/follow.rs
@@ -14,7 +14,7 @@
 
 /// Pause after a change of the directory, so that changes close together cost one call. A fraction
 /// of the time within which an instance that is leaving must receive nothing more.
-const DIRECTORY_PACE: Duration = Duration::from_millis(1_000);
+const DIRECTORY_PACE: Duration = Duration::from_millis(2_000);
 
 /// Pause after a change of the table: a fraction of the time in which one comes into force, so that
 /// a storm of changes costs about one call a second.
@@ -49,8 +49,10 @@
 
 async fn follow(control: Rc<Control>, kind: Kind, pace: Duration) {
     let mut backoff = Backoff(0);
+    // The watch that follows brings what a stale listing misses, unless the history is gone.
+    let mut may_be_stale = true;
     loop {
-        let err = match list(&control, kind).await {
+        let err = match list(&control, kind, may_be_stale).await {
             Ok(revision) => {
                 backoff = Backoff(0);
                 watch(&control, kind, revision, pace).await
@@ -59,6 +61,7 @@
         };
         control.note_store("follow", Some(&err));
         if err == StoreError::HistoryGone {
+            may_be_stale = false;
             tracing::info!(?kind, "the store's history is gone; listing anew");
             continue;
         }
@@ -66,8 +69,8 @@
     }
 }
 
-async fn list(control: &Control, kind: Kind) -> Result<u64, StoreError> {
-    let listing = control.platform.store.list(kind).await?;
+async fn list(control: &Control, kind: Kind, may_be_stale: bool) -> Result<u64, StoreError> {
+    let listing = control.platform.store.list(kind, may_be_stale).await?;
     control.note_store::<StoreError>("list", None);
     if kind == Kind::Table {
         for object in &listing.objects {
--- a/crates/persimmon-ports/src/store.rs
+++ b/crates/persimmon-ports/src/store.rs
@@ -78,8 +78,13 @@
 
 /// A client of the object store that belongs to one thread.
 pub trait ObjectStore: Debug {
-    /// Lists all objects of a kind.
-    fn list(&self, kind: Kind) -> LocalBoxFuture<'_, Result<Listing, StoreError>>;
+    /// Lists all objects of a kind. A listing that may be stale costs less; what it misses is in the
+    /// history after its revision.
+    fn list(
+        &self,
+        kind: Kind,
+        may_be_stale: bool,
+    ) -> LocalBoxFuture<'_, Result<Listing, StoreError>>;
 
     /// Waits up to `wait` for changes of a kind after `revision`.
     fn watch(
