One greeting an instance at a time; an instance that refuses a greeting lives

Cause: after a restart 126 daemons greet 24 instances at once; a greeting refused for room was taken for a dead instance.

--- a/crates/persimmon-front/src/control/inquiry.rs
+++ b/crates/persimmon-front/src/control/inquiry.rs
@@ -132,7 +132,9 @@
         // Its host accepts connections; the answer waits for a slot.
         LinkError::TimedOut => Finding::Busy,
         LinkError::Broken(err) if err.kind() == io::ErrorKind::TimedOut => Finding::Silent,
-        LinkError::Refused(Code::TooManyConnections, _) => Finding::Busy,
-        LinkError::Broken(_) | LinkError::Protocol(_) | LinkError::Refused(..) => Finding::Refused,
+        // Another instance answers at its address.
+        LinkError::Refused(Code::WrongInstance, _) => Finding::Refused,
+        LinkError::Refused(..) => Finding::Busy,
+        LinkError::Broken(_) | LinkError::Protocol(_) => Finding::Refused,
     }
 }
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -22,8 +22,9 @@
 /// the statements that wait there.
 const OPEN_LIMIT: Duration = Duration::from_millis(600);
 
-/// Connections to one instance that are being opened at once; each occupies a slot there.
-const OPENING_LIMIT: usize = 3;
+/// Connections to one instance that are being opened at once: each occupies a slot there, and after
+/// a restart every daemon of the fleet greets every instance.
+const OPENING_LIMIT: usize = 1;
 
 /// After a refusal for the cap no connection is asked for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
@@ -276,9 +277,9 @@
             LinkError::Broken(err) if err.kind() == std::io::ErrorKind::TimedOut => {
                 Unavailable::Silent
             }
-            LinkError::Broken(_) | LinkError::Protocol(_) | LinkError::Refused(..) => {
-                Unavailable::Refused
-            }
+            // An instance that answers lives, whatever it lacks at this moment.
+            LinkError::Refused(..) => Unavailable::Waited,
+            LinkError::Broken(_) | LinkError::Protocol(_) => Unavailable::Refused,
         };
         host.load.unreachable(now);
         Err(unavailable)
