--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -138,7 +138,7 @@
                 None
             });
             let Some(changed) = changed else {
-                let finding = Finding { worker: self, service };
+                let finding = self.finding(service);
                 self.find_once(service).await;
                 drop(finding);
                 if self.believed_leader(service).is_none() {
@@ -283,7 +283,7 @@
         }
         let (worker, service) = (Rc::clone(self), Arc::clone(service));
         ntex::rt::spawn(async move {
-            let sampling = Sampling { worker: &worker, service: &service };
+            let sampling = worker.sampling(&service);
             worker.sample_here(&service, Clock.now() + ASK_LIMIT).await;
             drop(sampling);
         });
@@ -291,7 +291,7 @@
 
     /// Gets a sample of the primary's log; the caller has set `is_sampling`.
     async fn sample(&self, service: &Arc<str>, max_age: Duration, until: Time) {
-        let sampling = Sampling { worker: self, service };
+        let sampling = self.sampling(service);
         let is_scarce = self.believed_leader(service).is_some_and(|leader| {
             self.pool.is_scarce(&leader.id, Clock.now()) && !self.pool.has_idle(&leader.id)
         });
@@ -345,30 +345,28 @@
     Lost,
 }
 
-struct Finding<'a> {
+/// Ends what one request does for all that wait, also if the request itself is dropped.
+struct Flight<'a> {
     worker: &'a Worker,
     service: &'a Arc<str>,
+    end: fn(&mut Leadership),
 }
 
-impl Drop for Finding<'_> {
+impl Drop for Flight<'_> {
     fn drop(&mut self) {
         self.worker.leadership(self.service, |l| {
-            l.is_finding = false;
+            (self.end)(l);
             l.changed.notify_waiters();
         });
     }
 }
 
-struct Sampling<'a> {
-    worker: &'a Worker,
-    service: &'a Arc<str>,
-}
+impl Worker {
+    fn finding<'a>(&'a self, service: &'a Arc<str>) -> Flight<'a> {
+        Flight { worker: self, service, end: |l| l.is_finding = false }
+    }
 
-impl Drop for Sampling<'_> {
-    fn drop(&mut self) {
-        self.worker.leadership(self.service, |l| {
-            l.is_sampling = false;
-            l.changed.notify_waiters();
-        });
+    fn sampling<'a>(&'a self, service: &'a Arc<str>) -> Flight<'a> {
+        Flight { worker: self, service, end: |l| l.is_sampling = false }
     }
 }
--- a/crates/persimmon-front/src/session/statements.rs
+++ b/crates/persimmon-front/src/session/statements.rs
@@ -41,17 +41,7 @@
                 (lone_mode(access), route, arrival)
             }
         };
-        let until = arrival + route.statement_timeout;
-        let job = Job {
-            query,
-            shape,
-            values: &self.values,
-            own_floor: self.own_floor,
-            own_since: self.own_since,
-            fresh_at,
-            until,
-            route: Arc::clone(&route),
-        };
+        let job = self.job(query, shape, &route, fresh_at, arrival);
         let carried = worker.carry(&job, mode).await;
         self.explain(query, &route, access, arrival, &carried);
         let has_begun = matches!(self.tx, Tx::Begun { .. });
@@ -109,6 +99,27 @@
         }
     }
 
+    /// A statement of this session on its way.
+    fn job<'a>(
+        &'a self,
+        query: &'a Query,
+        shape: Option<&'a Shape>,
+        route: &Arc<Route>,
+        fresh_at: Time,
+        arrival: Time,
+    ) -> Job<'a> {
+        Job {
+            query,
+            route: Arc::clone(route),
+            shape,
+            values: &self.values,
+            own_floor: self.own_floor,
+            own_since: self.own_since,
+            fresh_at,
+            until: arrival + route.statement_timeout,
+        }
+    }
+
     /// Runs a statement on the connection of the open transaction.
     async fn continue_transaction(
         &mut self,
@@ -123,17 +134,7 @@
         };
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
-        let until = arrival + route.statement_timeout;
-        let job = Job {
-            query,
-            shape,
-            values: &self.values,
-            own_floor: self.own_floor,
-            own_since: self.own_since,
-            fresh_at: began,
-            until,
-            route: Arc::clone(&route),
-        };
+        let job = self.job(query, shape, &route, began, arrival);
         let attempt = match (is_commit, has_written) {
             (true, true) => Attempt::Commit,
             (true, false) => Attempt::ReadOnlyCommit,
@@ -146,7 +147,7 @@
                 Ok(answer) => {
                     let is_busy = answer.code() == Some(&Code::Busy);
                     let goes_on = answer.status == TxStatus::Open;
-                    if is_busy && goes_on && Clock.now() + RETRY_PAUSE * 2 < until {
+                    if is_busy && goes_on && Clock.now() + RETRY_PAUSE * 2 < job.until {
                         Metrics::add(&self.worker.metrics.retries);
                         tokio::time::sleep(RETRY_PAUSE).await;
                         continue;
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -328,8 +328,7 @@
                     Guarded::Unavailable(_) | Guarded::Lost => Failure::NotSent,
                 })?
             }
-            Mode::Write => self.aligned(job, instance, &wanted).await?,
-            Mode::Copy => self.aligned(job, instance, &wanted).await?,
+            Mode::Write | Mode::Copy => self.aligned(job, instance, &wanted).await?,
             Mode::CopyTransaction => {
                 let begin = Begin { is_read_only: true, after: carried.after };
                 self.aligned(job, instance, &Wanted { begin: Some(begin), ..wanted }).await?
