--- a/crates/persimmon-place/src/placing.rs
+++ b/crates/persimmon-place/src/placing.rs
@@ -26,8 +26,9 @@
 /// The longest such pause while the copy stays behind.
 const BEHIND_PAUSE_MAX: Duration = Duration::from_millis(240);
 
-/// How much more a statement costs at the primary, which alone serves writes.
-const PRIMARY_BIAS: f64 = 1.25;
+/// How much more a read costs at the primary, which alone serves writes: copies take every read that
+/// the rules allow, until they are this many times as slow.
+const PRIMARY_BIAS: f64 = 2.5;
 
 /// What one daemon has observed at one instance.
 #[derive(Clone, Debug)]
--- a/crates/persimmon-place/tests/placing.rs
+++ b/crates/persimmon-place/tests/placing.rs
@@ -34,6 +34,15 @@
 
 /// Plays one statement every `gap_ms`; each instance answers after its own time.
 fn play(durations_ms: &[u64], gap_ms: u64, statements: u64) -> Vec<u64> {
+    play_with(durations_ms, gap_ms, statements, None)
+}
+
+fn play_with(
+    durations_ms: &[u64],
+    gap_ms: u64,
+    statements: u64,
+    primary: Option<usize>,
+) -> Vec<u64> {
     let mut loads = vec![Load::new(); durations_ms.len()];
     let mut served = vec![0; durations_ms.len()];
     let mut running: VecDeque<(u64, usize)> = VecDeque::new();
@@ -49,7 +58,7 @@
             false
         });
         let start = (number as usize * 7) % loads.len();
-        if let Some(index) = pick_from(at(now), &loads, None, start) {
+        if let Some(index) = pick_from(at(now), &loads, primary, start) {
             loads[index].in_flight += 1;
             served[index] += 1;
             running.push_back((now + durations_ms[index], index));
@@ -128,6 +137,14 @@
     assert_ne!(pick(at(0), &loads, Some(0)), Some(0));
 }
 
+#[test]
+fn copies_take_the_reads_that_the_rules_allow_at_ordinary_load() {
+    let served = play_with(&[40, 40, 40], 40, 2_000, Some(0));
+
+    let share = (served[1] + served[2]) as f64 / served.iter().sum::<u64>() as f64;
+    assert!(share >= 0.95, "{served:?}");
+}
+
 #[test]
 fn nothing_is_chosen_if_every_instance_is_avoided() {
     let mut loads = vec![Load::new()];
