--- a/crates/persimmon-front/src/control/inquiry.rs
+++ b/crates/persimmon-front/src/control/inquiry.rs
@@ -98,15 +98,17 @@
         pause: Option<Term>,
     ) -> Vec<Asked> {
         let asked = listed.iter().map(|l| async move {
+            let mut is_late = false;
             let status = match self.ask_one(control, l, pause).await {
                 Ok(status) => status,
                 Err(err) => {
+                    is_late = matches!(err, LinkError::TimedOut);
                     tracing::info!(instance = %l.instance.id, error = %err, "no state of an instance");
                     None
                 }
             };
             let is_draining = l.instance.is_draining || l.missing_for.is_some();
-            Asked { id: Arc::clone(&l.instance.id), is_draining, status }
+            Asked { id: Arc::clone(&l.instance.id), is_draining, is_late, status }
         });
         join_all(asked).await
     }
--- a/crates/persimmon-lead/src/candidate.rs
+++ b/crates/persimmon-lead/src/candidate.rs
@@ -11,6 +11,8 @@
     pub id: Arc<str>,
     /// Whether it is about to leave.
     pub is_draining: bool,
+    /// Whether its host accepts connections and the answer did not come in time.
+    pub is_late: bool,
     /// Its answer, if one came.
     pub status: Option<InstanceStatus>,
 }
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -38,6 +38,9 @@
 /// How long a planned change waits for a replica that has received everything.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(3_000);
 
+/// Rounds in which an instance that is late is waited for before another is chosen without it.
+const LATE_ROUNDS: u32 = 4;
+
 /// Pause before a step that failed is tried again.
 const STEP_PAUSE: Duration = Duration::from_millis(200);
 
@@ -90,6 +93,8 @@
     is_synchronous: bool,
     /// Whether replicas may have been told to stop receiving; only a promotion lets them go on.
     has_stopped: bool,
+    /// Rounds in which an instance that might hold more was late.
+    late_rounds: u32,
     primary: Option<Arc<str>>,
 }
 
@@ -105,6 +110,7 @@
             may_act_at: Time::ZERO,
             is_synchronous: false,
             has_stopped: false,
+            late_rounds: 0,
             primary: None,
         }
     }
@@ -306,6 +312,7 @@
     fn calm(&mut self) {
         self.state = State::Calm;
         self.has_stopped = false;
+        self.late_rounds = 0;
     }
 
     fn no_leader_answers(
@@ -318,6 +325,9 @@
         let primary = self.primary.clone();
         let of = |id: &Arc<str>| findings.iter().find(|(i, _)| i == id).map(|(_, f)| *f);
         let finding = primary.as_ref().and_then(of).unwrap_or(Finding::Silent);
+        // Whoever is late may lead, or hold more than those that answer.
+        let is_any_late = findings.iter().any(|(_, f)| *f == Finding::Busy);
+        let is_gone = Self::need(sight) == Some(Need::Missing);
         let has_replicas =
             findings.iter().any(|(id, f)| Some(id) != primary.as_ref() && *f == Finding::Follows);
         let State::Doubting { need, refused, silent, probe_at } = &mut self.state else {
@@ -336,12 +346,12 @@
         }
         let need = *need;
         let is_suspect = *refused >= REFUSED_ROUNDS || *silent >= SILENT_ROUNDS;
-        if !has_replicas {
+        if !has_replicas || is_any_late {
             return;
         }
         // Nobody leads, and the one that did says so itself or is gone from the directory.
         let is_leaderless = finding == Finding::Follows || sight.primary.is_none();
-        if is_leaderless || need == Need::Missing {
+        if is_leaderless || (need == Need::Missing && is_gone) {
             self.confirm(now, need);
         } else if is_suspect {
             actions.push(Action::Canvass);
@@ -421,6 +431,12 @@
                 return;
             }
         }
+        let is_any_late = asked.iter().any(|a| a.is_late && Some(&a.id) != old.as_ref());
+        if is_any_late && self.late_rounds < LATE_ROUNDS {
+            self.late_rounds += 1;
+            self.pause(now);
+            return;
+        }
         let Some(candidate) = choose_candidate(asked, old.as_deref(), self.is_synchronous) else {
             self.pause(now);
             return;
--- a/crates/persimmon-lead/tests/duty.rs
+++ b/crates/persimmon-lead/tests/duty.rs
@@ -30,11 +30,11 @@
 fn status(name: &str, role: Role, term: u64, lsn: u64) -> Asked {
     let status = InstanceStatus::new(role, Term(term));
     let status = status.with_received(Position::new(Term(term), Lsn(lsn)));
-    Asked { id: id(name), is_draining: false, status: Some(status) }
+    Asked { id: id(name), is_draining: false, is_late: false, status: Some(status) }
 }
 
 fn silent(name: &str) -> Asked {
-    Asked { id: id(name), is_draining: false, status: None }
+    Asked { id: id(name), is_draining: false, is_late: false, status: None }
 }
 
 struct Play {
@@ -243,6 +243,46 @@
     assert_eq!(ordered, [Action::Order { candidate: id("b"), token: 7 }]);
 }
 
+/// Found by a hunt: grown bluemahoe, mix --seed 21003398925. A copy that had been cut off for long was
+/// promoted because the primary, which led and was busy, did not answer in time.
+#[test]
+fn nobody_is_promoted_while_an_instance_that_may_lead_is_late() {
+    let missing = Sight { missing_for: Some(Duration::from_secs(3)), ..sight("a") };
+    let mut play = Play::holder(missing);
+    assert_eq!(play.input(10, Input::Tick), [Action::Probe]);
+
+    assert_eq!(play.input(20, findings(Finding::Silent, Finding::Busy, Finding::Follows)), []);
+
+    assert_eq!(play.duty.state_name(), "doubting");
+}
+
+#[test]
+fn a_reason_that_has_passed_promotes_nobody() {
+    let missing = Sight { missing_for: Some(Duration::from_secs(3)), ..sight("a") };
+    let mut play = Play::holder(missing);
+    assert_eq!(play.input(10, Input::Tick), [Action::Probe]);
+
+    play.sight = sight("b");
+    assert_eq!(
+        play.input(20, findings(Finding::Silent, Finding::Silent, Finding::Follows)),
+        [Action::Canvass]
+    );
+
+    assert_eq!(play.duty.state_name(), "doubting");
+}
+
+#[test]
+fn a_late_instance_is_waited_for_before_one_that_holds_less_is_chosen() {
+    let mut play = Play::holder(sight("a"));
+    play.confirm_dead();
+    let late = Asked { is_late: true, ..silent("b") };
+    let asked = || vec![late.clone(), status("c", Role::Replica, 3, 10)];
+
+    assert_eq!(play.input(210, Input::Asked(asked())), []);
+
+    assert_eq!(play.duty.state_name(), "doubting");
+}
+
 #[test]
 fn an_entry_that_lapsed_briefly_is_no_reason() {
     let missing = Sight { missing_for: Some(Duration::from_millis(2_400)), ..sight("a") };
