What a second reading found written twice or never read

The opening of a guarded transaction returned a position that no caller used; a statement's record was built by hand in two places; the pool asked the gate through two functions.

--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Admission, Gate, Keep, Load};
+use persimmon_place::{Gate, Keep, Load};
 use persimmon_ports::{Code, Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
 use tokio::sync::Notify;
@@ -128,13 +128,6 @@
         f(&mut self.hosts.borrow_mut().entry(Arc::clone(id)).or_default().load)
     }
 
-    /// Asks to send new work to an instance.
-    pub(crate) fn admit(&self, id: &Arc<str>, cost_ms: f64, priority: u8) -> Admission {
-        let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.entry(Arc::clone(id)).or_default();
-        host.gate.admit(Clock.now(), cost_ms, priority)
-    }
-
     /// Reads or changes what is known of the room at an instance.
     pub(crate) fn gate<T>(&self, id: &Arc<str>, f: impl FnOnce(&mut Gate) -> T) -> T {
         f(&mut self.hosts.borrow_mut().entry(Arc::clone(id)).or_default().gate)
--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -160,7 +160,7 @@
     async fn asks_to_lead(&self, instance: &Arc<Instance>) {
         let until = Clock.now() + ASK_LIMIT;
         // What was found is noted by the opening itself.
-        if let Ok((mut lease, _)) = self.open_guarded(instance, &Wanted::default(), until).await {
+        if let Ok(mut lease) = self.open_guarded(instance, &Wanted::default(), until).await {
             self.rollback(&mut lease).await;
         }
     }
@@ -171,7 +171,7 @@
         instance: &Arc<Instance>,
         wanted: &Wanted<'_>,
         until: Time,
-    ) -> Result<(Lease, Option<Position>), Guarded> {
+    ) -> Result<Lease, Guarded> {
         let service = &instance.service;
         let cap = self.cap(service);
         let mut lease = match self.pool.acquire(instance, wanted.values, cap, until).await {
@@ -195,7 +195,7 @@
                     self.leads(service, &instance.id);
                     self.reach.answered(&instance.id, Clock.now());
                     self.add_sample(service, answer.position, asked_at);
-                    Ok((lease, answer.position))
+                    Ok(lease)
                 }
                 Some(Code::ReadOnly) => {
                     self.not_leading(service, &instance.id, "it follows another primary");
@@ -307,7 +307,7 @@
             return;
         };
         match self.open_guarded(&leader, &Wanted::default(), until).await {
-            Ok((mut lease, _)) => self.rollback(&mut lease).await,
+            Ok(mut lease) => self.rollback(&mut lease).await,
             Err(why) => {
                 tracing::debug!(%service, instance = %leader.id, ?why, "no sample");
                 tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/persimmon-front/src/session/statements.rs
+++ b/crates/persimmon-front/src/session/statements.rs
@@ -160,17 +160,9 @@
                 Err(failure) => break Err(failure),
             }
         };
-        let mut carried = Carried {
-            result: Err(Code::Aborted),
-            lease: None,
-            instance: Some(Arc::clone(&lease.instance)),
-            mode: Mode::PrimaryTransaction,
-            attempts,
-            after: None,
-            failure: None,
-            budget: None,
-            retry_after: RETRY_AFTER,
-        };
+        let mut carried = Carried::new(Mode::PrimaryTransaction);
+        carried.instance = Some(Arc::clone(&lease.instance));
+        carried.attempts = attempts;
         match ended {
             Ok(answer) => {
                 let was_committed = is_commit && answer.result.is_ok();
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Admission, Attempt, Candidate, Failure, Next, after_failure, choose};
+use persimmon_place::{Admission, Attempt, Candidate, Failure, Gate, Next, after_failure, choose};
 use persimmon_ports::{
     Access, Code, Command, Freshness, Instance, Query, Route, Statement, TxStatus,
 };
@@ -123,6 +123,23 @@
     pub(crate) retry_after: Duration,
 }
 
+impl Carried {
+    /// A statement that has not been sent.
+    pub(crate) fn new(mode: Mode) -> Self {
+        Self {
+            result: Err(Code::Busy),
+            lease: None,
+            instance: None,
+            mode,
+            attempts: 0,
+            after: None,
+            failure: None,
+            budget: None,
+            retry_after: RETRY_AFTER,
+        }
+    }
+}
+
 /// Whether new work was held back.
 enum Held {
     Not,
@@ -152,17 +169,7 @@
 impl Worker {
     /// Carries a statement to an instance that may serve it, as often as its time allows.
     pub(crate) async fn carry(self: &Rc<Self>, job: &Job<'_>, mode: Mode) -> Carried {
-        let mut carried = Carried {
-            result: Err(Code::Busy),
-            lease: None,
-            instance: None,
-            mode,
-            attempts: 0,
-            after: None,
-            failure: None,
-            budget: None,
-            retry_after: RETRY_AFTER,
-        };
+        let mut carried = Carried::new(mode);
         let mut tried: Vec<Arc<str>> = Vec::new();
         loop {
             let chosen = self.place(job, &mut carried, &tried).await;
@@ -234,7 +241,8 @@
     async fn hold(&self, job: &Job<'_>, instance: &Arc<Instance>) -> Held {
         let mean = self.means.borrow().get(&job.route.database).copied();
         let cost = mean.unwrap_or(UNKNOWN_MEAN_MS);
-        let Admission::After(wait) = self.pool.admit(&instance.id, cost, job.route.priority) else {
+        let asks = |gate: &mut Gate| gate.admit(Clock.now(), cost, job.route.priority);
+        let Admission::After(wait) = self.pool.gate(&instance.id, asks) else {
             return Held::Not;
         };
         let patience = LONGEST_HOLD.min(job.route.target / 4);
@@ -323,7 +331,7 @@
         let mut lease = match carried.mode {
             Mode::Guarded | Mode::PrimaryTransaction => {
                 let opened = self.open_guarded(instance, &wanted, job.until).await;
-                opened.map(|(lease, _)| lease).map_err(|why| match why {
+                opened.map_err(|why| match why {
                     Guarded::NotLeading => Failure::Answered(Code::ReadOnly),
                     Guarded::Unavailable(_) | Guarded::Lost => Failure::NotSent,
                 })?
