Greetings and new work are paced by the wait that they meet

Statements queued behind greetings, each held its connection longer, and that made daemons open more. Openings were given up after 600 ms though their greeting still took its slot; a statement that waited for a connection was not counted as in flight, so that others joined it there. Gates closed on a budget learned from the work of a process that was 300 ms old, and refused 1,700 statements a second untried. What waited became a route's usual duration, so that the wait was no longer seen.

Change: connections are opened in the background and stay for the next statement; one at a time while greetings wait, three otherwise; no second one to a congested instance. A statement counts as in flight while it waits for a connection. A gate admits a daemon's share of the slots in any case, and beyond it with a chance that falls with the observed wait. Usual durations are learned only from instances with room. A fleet that has just started does not ask its peers for samples. The log of a request says how long it waited for a position and for a connection.

--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -3,16 +3,16 @@
 //! Answers connections that are scarce and dear: an idle one that already holds a session's values
 //! goes first, few are opened at once, and idle ones are given back when an instance refuses more.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Gate, Keep, Load};
+use persimmon_place::{Gate, Keep, Load, Typical};
 use persimmon_ports::{Code, Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::link::{Link, LinkError};
 use crate::metrics::Metrics;
@@ -22,10 +22,17 @@
 /// the statements that wait there.
 const OPEN_LIMIT: Duration = Duration::from_millis(600);
 
-/// Connections to one instance that are being opened at once: each occupies a slot there, and after
-/// a restart every daemon of the fleet greets every instance.
+/// Connections to one instance that are being opened at once: each occupies a slot there.
 const OPENING_LIMIT: usize = 1;
 
+/// Connections to all instances that are being opened at once, while greetings are answered without
+/// a wait. After a restart every daemon of the fleet greets every instance, and statements wait
+/// behind the greetings: a daemon then opens one at a time.
+const OPENING_LIMIT_ALL: u32 = 3;
+
+/// A greeting that took so much longer than usual has waited for a slot.
+const GREETING_WAIT_MS: f64 = 20.0;
+
 /// After a refusal for the cap no connection is asked for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
@@ -62,6 +69,8 @@
     born_ms: u64,
     idle: Vec<Link>,
     lent: usize,
+    /// Those lent that an open transaction keeps, also while its caller pauses.
+    pinned: usize,
     opening: usize,
     keep: Keep,
     load: Load,
@@ -69,6 +78,9 @@
     refused_until: Time,
     /// Whether the latest connection failed; only the first failure is logged.
     is_failing: bool,
+    /// Connections that failed, and why the latest did, for those who wait for one.
+    failures: u64,
+    failed_with: Option<Unavailable>,
     freed: Rc<Notify>,
 }
 
@@ -79,12 +91,18 @@
     metrics: Arc<Metrics>,
     peers: Arc<PeerList>,
     hosts: RefCell<HashMap<Arc<str>, Host>>,
+    openings: Semaphore,
+    /// How long a greeting usually takes.
+    greeting: Cell<Typical>,
+    /// Whether the latest greeting waited for a slot; so it may in a fleet that has just started.
+    greetings_wait: Cell<bool>,
 }
 
 /// A connection that is lent.
 #[derive(Debug)]
 pub(crate) struct Lease {
     link: Option<Link>,
+    is_pinned: bool,
     pool: Rc<Pool>,
     /// The instance at its other end.
     pub(crate) instance: Arc<Instance>,
@@ -98,12 +116,22 @@
             None => unreachable!("a lease holds its connection until it is dropped"),
         }
     }
+
+    /// Notes that an open transaction keeps the connection.
+    pub(crate) fn pin(&mut self) {
+        let mut hosts = self.pool.hosts.borrow_mut();
+        if let Some(host) = hosts.get_mut(&self.instance.id)
+            && !std::mem::replace(&mut self.is_pinned, true)
+        {
+            host.pinned += 1;
+        }
+    }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
         if let Some(link) = self.link.take() {
-            self.pool.give_back(&self.instance.id, link);
+            self.pool.give_back(&self.instance.id, link, self.is_pinned);
         }
     }
 }
@@ -115,7 +143,16 @@
         metrics: Arc<Metrics>,
         peers: Arc<PeerList>,
     ) -> Self {
-        Self { protocol, metrics, peers, hosts: RefCell::default() }
+        let openings = Semaphore::new(OPENING_LIMIT_ALL as usize);
+        Self {
+            protocol,
+            metrics,
+            peers,
+            hosts: RefCell::default(),
+            openings,
+            greeting: Cell::default(),
+            greetings_wait: Cell::new(true),
+        }
     }
 
     /// Whether connections to an instance are fewer than daemons, or refused lately.
@@ -144,12 +181,13 @@
         self.hosts.borrow().get(id).is_some_and(|h| h.idle.iter().any(Link::is_at_rest))
     }
 
-    fn give_back(&self, id: &Arc<str>, link: Link) {
+    fn give_back(&self, id: &Arc<str>, link: Link, was_pinned: bool) {
         let mut hosts = self.hosts.borrow_mut();
         let Some(host) = hosts.get_mut(id) else {
             return;
         };
         host.lent = host.lent.saturating_sub(1);
+        host.pinned = host.pinned.saturating_sub(usize::from(was_pinned));
         if link.is_at_rest() {
             host.idle.push(link);
         }
@@ -166,7 +204,12 @@
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         if host.born_ms != instance.born_ms {
             // Another process has the identity now; what was known was of the one before.
-            *host = Host { born_ms: instance.born_ms, lent: host.lent, ..Host::default() };
+            *host = Host {
+                born_ms: instance.born_ms,
+                lent: host.lent,
+                pinned: host.pinned,
+                ..Host::default()
+            };
         }
         host.idle.retain(Link::is_at_rest);
         if host.idle.is_empty() {
@@ -178,13 +221,19 @@
         Some(host.idle.remove(index))
     }
 
+    /// Notes that a connection is being opened, if one may be.
     fn may_open(&self, instance: &Instance, now: Time, cap: usize) -> bool {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         host.keep.set_share(cap, self.peers.daemons());
         // One daemon alone must not take an instance's whole cap.
+        let is_within_cap = host.lent + host.opening < (cap / 2).max(1);
+        // Where statements wait for slots, more connections only make the queue longer, and each
+        // greeting takes a slot from a statement.
+        let in_use = host.lent.saturating_sub(host.pinned) + host.opening;
         let may = host.opening < OPENING_LIMIT
-            && host.lent + host.opening < (cap / 2).max(1)
+            && is_within_cap
+            && (in_use == 0 || !host.gate.is_closed())
             && now >= host.refused_until;
         if may {
             host.opening += 1;
@@ -193,6 +242,9 @@
     }
 
     /// Borrows a connection to an instance; `cap` is the number that it takes from all daemons.
+    ///
+    /// A connection that is opened meanwhile serves whoever waits first, and stays if nobody waits
+    /// any more: giving it up would waste the slot that its greeting occupies.
     pub(crate) async fn acquire(
         self: &Rc<Self>,
         instance: &Arc<Instance>,
@@ -200,29 +252,29 @@
         cap: u32,
         until: Time,
     ) -> Result<Lease, Unavailable> {
-        let lease = |link| Lease {
-            link: Some(link),
-            pool: Rc::clone(self),
-            instance: Arc::clone(instance),
-        };
+        let mut failures_before = None;
         loop {
             if let Some(link) = self.take(instance, values) {
-                return Ok(lease(link));
+                let pool = Rc::clone(self);
+                let instance = Arc::clone(instance);
+                return Ok(Lease { link: Some(link), is_pinned: false, pool, instance });
             }
             let now = Clock.now();
             if now >= until {
                 return Err(Unavailable::Waited);
             }
-            if self.may_open(instance, now, cap as usize) {
-                let opening = Opening { pool: self, id: &instance.id };
-                let limit = OPEN_LIMIT.min(until.since(now));
-                let opened = Link::open(&self.protocol, instance, limit).await;
-                drop(opening);
-                return self.opened(instance, opened).map(lease);
+            let is_opening = self.may_open(instance, now, cap as usize);
+            if is_opening {
+                let (pool, instance) = (Rc::clone(self), Arc::clone(instance));
+                ntex::rt::spawn(async move { pool.open(&instance).await });
             }
             let freed = {
                 let mut hosts = self.hosts.borrow_mut();
                 let host = hosts.entry(Arc::clone(&instance.id)).or_default();
+                let before = *failures_before.get_or_insert(host.failures);
+                if before != host.failures {
+                    return Err(host.failed_with.clone().unwrap_or(Unavailable::Waited));
+                }
                 if now < host.refused_until && host.lent + host.opening == 0 {
                     return Err(Unavailable::Full);
                 }
@@ -234,22 +286,49 @@
         }
     }
 
-    fn opened(
-        &self,
-        instance: &Instance,
-        opened: Result<Link, LinkError>,
-    ) -> Result<Link, Unavailable> {
+    /// Opens a connection and lays it out for whoever waits.
+    async fn open(&self, instance: &Arc<Instance>) {
+        let opening = Opening { pool: self, id: &instance.id };
+        let permits = if self.greetings_wait.get() { OPENING_LIMIT_ALL } else { 1 };
+        let Ok(_permit) = self.openings.acquire_many(permits).await else {
+            return;
+        };
+        let began = Clock.now();
+        let opened = Link::open(&self.protocol, instance, OPEN_LIMIT).await;
+        self.greeted(instance, &opened, Clock.now().since(began));
+        self.opened(instance, opened);
+        drop(opening);
+    }
+
+    /// Takes in how long a greeting took: it waits for a slot like a statement.
+    fn greeted(&self, instance: &Instance, opened: &Result<Link, LinkError>, took: Duration) {
+        let is_queued = matches!(opened, Ok(_) | Err(LinkError::TimedOut));
+        if !is_queued {
+            return;
+        }
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let mut typical = self.greeting.get();
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.entry(Arc::clone(&instance.id)).or_default();
+        let wait_ms = took_ms - typical.ms();
+        host.gate.answered(Clock.now(), wait_ms);
+        self.greetings_wait.set(wait_ms > GREETING_WAIT_MS);
+        typical.observe(took_ms, !host.gate.is_closed());
+        self.greeting.set(typical);
+    }
+
+    fn opened(&self, instance: &Instance, opened: Result<Link, LinkError>) {
         let now = Clock.now();
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         Metrics::add(&self.metrics.connections_opened);
         let err = match opened {
             Ok(link) => {
-                host.lent += 1;
+                host.idle.push(link);
                 if std::mem::take(&mut host.is_failing) {
                     tracing::info!(instance = %instance.id, "an instance accepts connections again");
                 }
-                return Ok(link);
+                return;
             }
             Err(err) => err,
         };
@@ -258,24 +337,15 @@
             tracing::info!(instance = %instance.id, address = %instance.address, error = %err,
                 lent = host.lent, idle = host.idle.len(), "no connection to an instance");
         }
-        let unavailable = match err {
-            LinkError::Refused(Code::TooManyConnections, _) => {
-                host.keep.refused(now);
-                host.refused_until = now + REFUSED_PAUSE;
-                return Err(Unavailable::Full);
-            }
-            LinkError::Refused(Code::WrongInstance, _) => Unavailable::Replaced,
-            // The host accepted the connection; the greeting waits for a slot.
-            LinkError::TimedOut => Unavailable::Waited,
-            LinkError::Broken(err) if err.kind() == std::io::ErrorKind::TimedOut => {
-                Unavailable::Silent
-            }
-            // An instance that answers lives, whatever it lacks at this moment.
-            LinkError::Refused(..) => Unavailable::Waited,
-            LinkError::Broken(_) | LinkError::Protocol(_) => Unavailable::Refused,
-        };
-        host.load.unreachable(now);
-        Err(unavailable)
+        let unavailable = unavailable(&err);
+        if unavailable == Unavailable::Full {
+            host.keep.refused(now);
+            host.refused_until = now + REFUSED_PAUSE;
+        } else {
+            host.load.unreachable(now);
+        }
+        host.failures += 1;
+        host.failed_with = Some(unavailable);
     }
 
     /// Whether this daemon's share allows for a connection that is open before it is needed, and
@@ -323,6 +393,19 @@
     }
 }
 
+fn unavailable(err: &LinkError) -> Unavailable {
+    match err {
+        LinkError::Refused(Code::TooManyConnections, _) => Unavailable::Full,
+        LinkError::Refused(Code::WrongInstance, _) => Unavailable::Replaced,
+        // The host accepted the connection; the greeting waits for a slot.
+        LinkError::TimedOut => Unavailable::Waited,
+        LinkError::Broken(err) if err.kind() == std::io::ErrorKind::TimedOut => Unavailable::Silent,
+        // An instance that answers lives, whatever it lacks at this moment.
+        LinkError::Refused(..) => Unavailable::Waited,
+        LinkError::Broken(_) | LinkError::Protocol(_) => Unavailable::Refused,
+    }
+}
+
 /// Counts a connection that is being opened.
 struct Opening<'a> {
     pool: &'a Pool,
@@ -333,7 +416,8 @@
     fn drop(&mut self) {
         if let Some(host) = self.pool.hosts.borrow_mut().get_mut(self.id) {
             host.opening = host.opening.saturating_sub(1);
-            host.freed.notify_one();
+            // All that wait: one takes the connection, another may open the next.
+            host.freed.notify_waiters();
         }
     }
 }
--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -292,10 +292,12 @@
     /// Gets a sample of the primary's log; the caller has set `is_sampling`.
     async fn sample(&self, service: &Arc<str>, max_age: Duration, until: Time) {
         let sampling = self.sampling(service);
+        // In a fleet that has just started the peers that sample are as busy as this daemon.
+        let is_settled = self.peers.daemons().is_some();
         let is_scarce = self.believed_leader(service).is_some_and(|leader| {
             self.pool.is_scarce(&leader.id, Clock.now()) && !self.pool.has_idle(&leader.id)
         });
-        if !is_scarce || !self.borrow_sample(service, max_age).await {
+        if !is_settled || !is_scarce || !self.borrow_sample(service, max_age).await {
             self.sample_here(service, until.min(Clock.now() + ASK_LIMIT * 2)).await;
         }
         drop(sampling);
--- a/crates/persimmon-front/src/session/statements.rs
+++ b/crates/persimmon-front/src/session/statements.rs
@@ -12,7 +12,7 @@
 use crate::metrics::Metrics;
 use crate::pool::Lease;
 use crate::session::{Session, Tx, ready, refusal};
-use crate::transaction::{Carried, Job, Mode, RETRY_AFTER, access, lone_mode};
+use crate::transaction::{Carried, InFlight, Job, Mode, RETRY_AFTER, access, lone_mode};
 
 /// Pause before a busy instance is asked again inside a transaction.
 const RETRY_PAUSE: Duration = Duration::from_millis(12);
@@ -76,9 +76,10 @@
         is_commit: bool,
         answer: &Answer,
     ) -> Tx {
-        let Some(lease) = lease else {
+        let Some(mut lease) = lease else {
             return if is_commit { Tx::None } else { Tx::Failed };
         };
+        lease.pin();
         let has_written = access == Access::Write;
         let tx = Tx::Open { lease, route, has_written, rests_since: Clock.now(), began };
         if answer.status == TxStatus::Open {
@@ -211,6 +212,8 @@
     }
 
     async fn step(&self, lease: &mut Lease, job: &Job<'_>) -> Result<Answer, Failure> {
+        let id = Arc::clone(&lease.instance.id);
+        let _in_flight = InFlight::new(&self.worker, &id);
         let wanted = Wanted { values: Some(&self.values), shape: job.shape, begin: None };
         let limit = job.until.since(Clock.now()).max(Duration::from_millis(1));
         // The transaction is open: what the session set since must hold from here on.
@@ -266,9 +269,14 @@
             mode = ?carried.mode, attempts = carried.attempts, after, table,
             failure = carried.failure.as_ref().map(|f| format!("{f:?}")),
             code = code.map(|c| format!("{c:?}")),
-            ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
-            budget_ms_per_s = carried.budget.map(f64::round),
+            ms = whole_ms(took), floor_ms = whole_ms(carried.floor_wait),
+            connection_ms = whole_ms(carried.connection_wait),
+            congestion_ms = carried.congestion_ms.map(f64::round),
             outcome, "request"
         );
     }
 }
+
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/persimmon-front/src/traffic.rs
+++ b/crates/persimmon-front/src/traffic.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use persimmon_place::Typical;
 use persimmon_ports::{CallerProtocol, InstanceProtocol};
 use persimmon_types::Clock;
 use rand::Rng;
@@ -64,8 +65,8 @@
     pub(crate) callers: Arc<dyn CallerProtocol>,
     pub(crate) pool: Rc<Pool>,
     pub(crate) leaderships: RefCell<HashMap<Arc<str>, Leadership>>,
-    /// The mean duration of a route's statements, in milliseconds.
-    pub(crate) means: RefCell<HashMap<Arc<str>, f64>>,
+    /// How long the statements of each route usually take.
+    pub(crate) typical: RefCell<HashMap<Arc<str>, Typical>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) log: LogBudget,
     pub(crate) stage: watch::Receiver<Stage>,
@@ -108,7 +109,7 @@
             settings: parts.settings,
             callers: parts.callers,
             leaderships: RefCell::default(),
-            means: RefCell::default(),
+            typical: RefCell::default(),
             metrics: parts.metrics,
             stage: parts.stage,
             sessions: Cell::new(0),
--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Admission, Attempt, Candidate, Failure, Gate, Next, after_failure, choose};
+use persimmon_place::{
+    Admission, Attempt, Candidate, Failure, Next, Typical, after_failure, choose,
+};
 use persimmon_ports::{
     Access, Code, Command, Freshness, Instance, Query, Route, Statement, TxStatus,
 };
@@ -27,8 +29,8 @@
 /// The longest pause before a statement is sent again.
 const LONGEST_PAUSE: Duration = Duration::from_millis(80);
 
-/// New work waits here no longer than this for room at an instance; a caller that is told to come
-/// back may reach another daemon.
+/// New work waits here once, no longer than this, for room at an instance; a caller that is told to
+/// come back may reach another daemon.
 const LONGEST_HOLD: Duration = Duration::from_millis(80);
 
 /// When a caller may come back whose statement could not be carried.
@@ -37,12 +39,6 @@
 /// The share of a read's time after which a silent instance is given up for another.
 const READ_PATIENCE: f64 = 0.6;
 
-/// The weight of a new observation in a route's mean duration.
-const MEAN_GAIN: f64 = 0.05;
-
-/// The mean duration that is taken for a route that nothing is known of, in milliseconds.
-const UNKNOWN_MEAN_MS: f64 = 40.0;
-
 /// How a statement is carried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
@@ -116,11 +112,17 @@
     pub(crate) after: Option<Position>,
     /// The last failure.
     pub(crate) failure: Option<Failure>,
-    /// The budget of new work at the instance, in milliseconds of slots a second, if it held the
-    /// statement back.
-    pub(crate) budget: Option<f64>,
+    /// How long statements waited lately at the instance that was held to have no room, in
+    /// milliseconds.
+    pub(crate) congestion_ms: Option<f64>,
+    /// Whether it has waited for room.
+    was_held: bool,
     /// When the caller may come back, if the statement was held back.
     pub(crate) retry_after: Duration,
+    /// How long it waited for a position that proves a copy fresh.
+    pub(crate) floor_wait: Duration,
+    /// How long it waited for connections.
+    pub(crate) connection_wait: Duration,
 }
 
 impl Carried {
@@ -134,27 +136,24 @@
             attempts: 0,
             after: None,
             failure: None,
-            budget: None,
+            congestion_ms: None,
+            was_held: false,
             retry_after: RETRY_AFTER,
+            floor_wait: Duration::ZERO,
+            connection_wait: Duration::ZERO,
         }
     }
 }
 
-/// Whether new work was held back.
-enum Held {
-    Not,
-    Waited,
-    TooLong(Duration),
-}
-
-/// Counts a statement as in flight at an instance.
-struct InFlight<'a> {
+/// Counts a statement as in flight at an instance, also while it waits for a connection: others
+/// should not join it there while another instance is free.
+pub(crate) struct InFlight<'a> {
     worker: &'a Worker,
     instance: &'a Arc<str>,
 }
 
 impl<'a> InFlight<'a> {
-    fn new(worker: &'a Worker, instance: &'a Arc<str>) -> Self {
+    pub(crate) fn new(worker: &'a Worker, instance: &'a Arc<str>) -> Self {
         worker.pool.load(instance, |l| l.in_flight += 1);
         Self { worker, instance }
     }
@@ -178,27 +177,24 @@
                 carried.result = Err(Code::Busy);
                 return carried;
             };
-            match self.hold(job, &instance).await {
-                Held::Not => {}
-                Held::Waited => continue,
-                Held::TooLong(retry_after) => {
-                    Metrics::add(&self.metrics.held_back);
-                    carried.retry_after = retry_after;
-                    carried.budget = self.pool.gate(&instance.id, |gate| gate.budget());
-                    tried.push(Arc::clone(&instance.id));
-                    let instances = self.view().instances(&job.route.service).len();
-                    if !carried.mode.needs_primary() && tried.len() < instances {
-                        continue;
-                    }
-                    // Waiting here would only make the refusal late.
-                    carried.instance = Some(instance);
-                    carried.result = Err(Code::Busy);
-                    return carried;
+            if let Admission::After(retry_after) = self.admit(job, &instance, &mut carried) {
+                tried.push(Arc::clone(&instance.id));
+                if !carried.mode.needs_primary() {
+                    continue;
+                }
+                carried.instance = Some(instance);
+                carried.retry_after = retry_after;
+                if self.hold(job, &mut carried).await {
+                    tried.clear();
+                    continue;
                 }
+                Metrics::add(&self.metrics.held_back);
+                carried.result = Err(Code::Busy);
+                return carried;
             }
             carried.attempts += 1;
             carried.instance = Some(Arc::clone(&instance));
-            let failure = match self.attempt(job, &carried, &instance).await {
+            let failure = match self.attempt(job, &mut carried, &instance).await {
                 Ok((lease, answer)) => match answer.code() {
                     Some(code) if code.is_not_run() => {
                         self.end_failed(lease).await;
@@ -237,20 +233,30 @@
         }
     }
 
-    /// Holds new work back while the instance has no room for it.
-    async fn hold(&self, job: &Job<'_>, instance: &Arc<Instance>) -> Held {
-        let mean = self.means.borrow().get(&job.route.database).copied();
-        let cost = mean.unwrap_or(UNKNOWN_MEAN_MS);
-        let asks = |gate: &mut Gate| gate.admit(Clock.now(), cost, job.route.priority);
-        let Admission::After(wait) = self.pool.gate(&instance.id, asks) else {
-            return Held::Not;
-        };
+    /// Whether new work may be sent to an instance.
+    fn admit(&self, job: &Job<'_>, instance: &Instance, carried: &mut Carried) -> Admission {
+        let draw = rand::rng().random_range(0.0..1.0);
+        let daemons = self.peers.daemons();
+        self.pool.gate(&instance.id, |gate| {
+            gate.set_share(instance.slots, daemons);
+            let admission = gate.admit(Clock.now(), job.route.priority, draw);
+            if admission != Admission::Now {
+                carried.congestion_ms = Some(gate.wait_ms());
+            }
+            admission
+        })
+    }
+
+    /// Lets new work wait for room, once; returns whether it may ask again.
+    async fn hold(&self, job: &Job<'_>, carried: &mut Carried) -> bool {
         let patience = LONGEST_HOLD.min(job.route.target / 4);
-        if wait > patience || Clock.now() + wait + LEAST_TIME > job.until {
-            return Held::TooLong(wait);
+        let has_time = Clock.now() + patience + LEAST_TIME < job.until;
+        if !has_time || std::mem::replace(&mut carried.was_held, true) {
+            return false;
         }
-        tokio::time::sleep(wait).await;
-        Held::Waited
+        // Statements that were held back together do not come back together.
+        tokio::time::sleep(patience.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+        true
     }
 
     fn note_failure(&self, instance: &Arc<Instance>, failure: &Failure) {
@@ -288,7 +294,10 @@
             return self.leader(service, job.until).await;
         }
         let since = (job.fresh_at - max_age).max(job.own_since);
-        let floor = self.floor(service, since, max_age, job.until).await?;
+        let asked_at = Clock.now();
+        let floor = self.floor(service, since, max_age, job.until).await;
+        carried.floor_wait += Clock.now().since(asked_at);
+        let floor = floor?;
         self.refresh(service, max_age);
         let floor = job.own_floor.map_or(floor, |own| own.max(floor));
         let view = self.view();
@@ -324,32 +333,53 @@
     async fn attempt(
         self: &Rc<Self>,
         job: &Job<'_>,
-        carried: &Carried,
+        carried: &mut Carried,
         instance: &Arc<Instance>,
     ) -> Result<(Lease, Answer), Failure> {
+        let _in_flight = InFlight::new(self, &instance.id);
         let wanted = Wanted { values: Some(job.values), shape: job.shape, begin: None };
-        let mut lease = match carried.mode {
+        let began = Clock.now();
+        let opened = self.connection(job, carried, instance, wanted).await;
+        carried.connection_wait += Clock.now().since(began);
+        let mut lease = opened?;
+        let after = if carried.mode == Mode::Copy { carried.after } else { None };
+        let ends = carried.mode == Mode::Guarded;
+        let mut limit = job.until.since(Clock.now()).max(Duration::from_millis(1));
+        if carried.mode.attempt() == Attempt::Read {
+            limit = limit.mul_f64(READ_PATIENCE);
+        }
+        let asked_at = Clock.now();
+        let answer = self.forward(&mut lease, job, after, ends, limit).await?;
+        if carried.mode == Mode::Guarded && answer.result.is_ok() {
+            // An instance that has lost the lead runs no statement of such a transaction.
+            self.add_sample(&instance.service, answer.position, asked_at);
+        }
+        Ok((lease, answer))
+    }
+
+    /// Borrows a connection that is ready for the statement, in a transaction if it needs one.
+    async fn connection(
+        &self,
+        job: &Job<'_>,
+        carried: &Carried,
+        instance: &Arc<Instance>,
+        wanted: Wanted<'_>,
+    ) -> Result<Lease, Failure> {
+        match carried.mode {
             Mode::Guarded | Mode::PrimaryTransaction => {
-                let opened = self.open_guarded(instance, &wanted, job.until).await;
+                let until = job.until.min(Clock.now() + job.route.target);
+                let opened = self.open_guarded(instance, &wanted, until).await;
                 opened.map_err(|why| match why {
                     Guarded::NotLeading => Failure::Answered(Code::ReadOnly),
                     Guarded::Unavailable(_) | Guarded::Lost => Failure::NotSent,
-                })?
+                })
             }
-            Mode::Write | Mode::Copy => self.aligned(job, instance, &wanted).await?,
+            Mode::Write | Mode::Copy => self.aligned(job, instance, &wanted).await,
             Mode::CopyTransaction => {
                 let begin = Begin { is_read_only: true, after: carried.after };
-                self.aligned(job, instance, &Wanted { begin: Some(begin), ..wanted }).await?
+                self.aligned(job, instance, &Wanted { begin: Some(begin), ..wanted }).await
             }
-        };
-        let after = if carried.mode == Mode::Copy { carried.after } else { None };
-        let ends = carried.mode == Mode::Guarded;
-        let mut limit = job.until.since(Clock.now()).max(Duration::from_millis(1));
-        if carried.mode.attempt() == Attempt::Read {
-            limit = limit.mul_f64(READ_PATIENCE);
         }
-        let answer = self.forward(&mut lease, job, after, ends, limit).await?;
-        Ok((lease, answer))
     }
 
     /// Borrows a connection that holds what the session wants.
@@ -360,8 +390,8 @@
         wanted: &Wanted<'_>,
     ) -> Result<Lease, Failure> {
         let service = &instance.service;
-        let acquired =
-            self.pool.acquire(instance, wanted.values, self.cap(service), job.until).await;
+        let until = job.until.min(Clock.now() + job.route.target);
+        let acquired = self.pool.acquire(instance, wanted.values, self.cap(service), until).await;
         let mut lease = match acquired {
             Ok(lease) => lease,
             Err(why) => {
@@ -402,11 +432,12 @@
         limit: Duration,
     ) -> Result<Answer, Failure> {
         let instance = Arc::clone(&lease.instance);
-        let _in_flight = InFlight::new(self, &instance.id);
         let link = lease.link();
         let prepared = job.shape.and_then(|shape| link.prepared_name(shape));
         let forward = Command::Forward { query: job.query, prepared: prepared.as_deref(), after };
         let sent_at = Clock.now();
+        let usual_ms = self.typical(job).ms();
+        self.pool.gate(&instance.id, |gate| gate.sent(sent_at, usual_ms));
         let sent =
             if ends { link.send(&[forward, Command::Rollback]) } else { link.send(&[forward]) };
         let answered = match sent {
@@ -431,6 +462,10 @@
         Ok(Answer { status, ..answer })
     }
 
+    fn typical(&self, job: &Job<'_>) -> Typical {
+        self.typical.borrow().get(&job.route.database).copied().unwrap_or_default()
+    }
+
     fn note_answer(
         &self,
         job: &Job<'_>,
@@ -439,21 +474,23 @@
         took: Duration,
     ) {
         let took_ms = took.as_secs_f64() * 1_000.0;
-        let mut means = self.means.borrow_mut();
-        let mean = means.entry(Arc::clone(&job.route.database)).or_insert(UNKNOWN_MEAN_MS);
-        let relative = took_ms / mean.max(1.0);
+        let usual_ms = self.typical(job).ms();
+        let relative = took_ms / usual_ms.max(1.0);
         let has_failed = matches!(answer.code(), Some(Code::Failed | Code::TimedOut));
-        let wait_ms = took_ms - *mean;
+        let has_run = answer.code().is_none_or(|code| !code.is_not_run());
         let has_room = self.pool.gate(&instance.id, |gate| {
-            gate.answered(Clock.now(), wait_ms);
+            if has_run {
+                gate.answered(Clock.now(), took_ms - usual_ms);
+            }
             !gate.is_closed()
         });
-        // The time of a congested instance is mostly waiting, which is not what work costs.
-        if answer.code().is_none() && has_room {
-            *mean += MEAN_GAIN * (took_ms - *mean);
+        if answer.code().is_none() {
+            let mut typical = self.typical.borrow_mut();
+            let usual = typical.entry(Arc::clone(&job.route.database)).or_default();
+            usual.observe(took_ms, has_room);
         }
         self.pool.load(&instance.id, |load| {
-            if answer.code().is_none_or(|code| !code.is_not_run()) {
+            if has_run {
                 load.answered(Clock.now(), relative, has_failed);
             }
             if let Some(position) = answer.position {
--- a/crates/persimmon-place/src/lib.rs
+++ b/crates/persimmon-place/src/lib.rs
@@ -11,9 +11,11 @@
 mod gate;
 mod placing;
 mod retry;
+mod typical;
 
 pub use connections::Keep;
 pub use freshness::{Sample, Samples};
 pub use gate::{Admission, Gate};
 pub use placing::{Candidate, Load, choose};
 pub use retry::{Attempt, Failure, Next, after_failure};
+pub use typical::Typical;
--- a/crates/persimmon-place/src/placing.rs
+++ b/crates/persimmon-place/src/placing.rs
@@ -30,6 +30,10 @@
 /// the rules allow, until they are this many times as slow.
 const PRIMARY_BIAS: f64 = 2.5;
 
+/// How much a statement costs more, in statements, where a connection has to be opened first: the
+/// greeting occupies a slot about as long as a statement, and the statement waits for it.
+const GREETING_COST: f64 = 0.5;
+
 /// What one daemon has observed at one instance.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -178,7 +182,7 @@
             cost *= 1.1;
         }
         if !candidate.is_connected {
-            cost += 0.5;
+            cost += GREETING_COST;
         }
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, candidate.index));
