Short work has the better chance at a congested instance

Cause: where one instance serves its group alone (its copies apply 11 s late), half of the work cannot be served; admission drew lots without regard to length, so that reads of 47 ms displaced several bookings of 9 ms. A statement that had waited for a connection for the whole objective of its operation went on waiting until its own time was over, and its caller had no time left to try elsewhere.

Change: the chance beyond a daemon's share is raised to the power of the work's length over what is usual there; a statement without a connection is refused after the objective of its operation.

--- a/crates/persimmon-front/src/transaction.rs
+++ b/crates/persimmon-front/src/transaction.rs
@@ -210,7 +210,11 @@
                 Err(failure) => failure,
             };
             self.note_failure(&instance, &failure);
-            let has_time = Clock.now() + LEAST_TIME < job.until;
+            // A statement that has waited for a connection as long as its whole operation should take
+            // is refused while its caller can still try elsewhere.
+            let has_patience =
+                failure != Failure::NotSent || carried.connection_wait < job.route.target;
+            let has_time = has_patience && Clock.now() + LEAST_TIME < job.until;
             let next = after_failure(carried.mode.attempt(), &failure, has_time);
             carried.failure = Some(failure);
             match next {
@@ -237,9 +241,10 @@
     fn admit(&self, job: &Job<'_>, instance: &Instance, carried: &mut Carried) -> Admission {
         let draw = rand::rng().random_range(0.0..1.0);
         let daemons = self.peers.daemons();
+        let usual_ms = self.typical(job).ms();
         self.pool.gate(&instance.id, |gate| {
             gate.set_share(instance.slots, daemons);
-            let admission = gate.admit(Clock.now(), job.route.priority, draw);
+            let admission = gate.admit(Clock.now(), usual_ms, job.route.priority, draw);
             if admission != Admission::Now {
                 carried.congestion_ms = Some(gate.wait_ms());
             }
--- a/crates/persimmon-place/src/gate.rs
+++ b/crates/persimmon-place/src/gate.rs
@@ -7,8 +7,8 @@
 //! Two mechanisms together decide. A daemon's share of the instance's slots is admitted whatever the
 //! others do, so that no daemon starves on a few unlucky observations. Beyond it, work is admitted
 //! with a probability that falls with the wait that statements met: each daemon's estimate is noisy,
-//! but the sum over the fleet is not. Statements of open transactions are never held back, and count
-//! as spent.
+//! but the sum over the fleet is not. Short work has the better chance: it holds up others least.
+//! Statements of open transactions are never held back, and count as spent.
 
 use std::time::Duration;
 
@@ -51,6 +51,15 @@
 /// The least part of the gate that stays open, so that the instance's return is noticed.
 const LEAST_OPEN: f64 = 0.05;
 
+/// The weight of a new statement in the usual cost of work.
+const COST_GAIN: f64 = 0.05;
+
+/// The cost of work at an instance that nothing was sent to, in milliseconds.
+const UNKNOWN_COST_MS: f64 = 30.0;
+
+/// Work counts as no shorter than this part of what is usual, and no longer than its inverse.
+const SHORTEST: f64 = 0.5;
+
 /// The priority from which on work leaves room to more important work.
 const ORDINARY_PRIORITY: u8 = 2;
 
@@ -78,6 +87,8 @@
     /// taken into account.
     open: f64,
     opened_at: Time,
+    /// What work usually costs here, in milliseconds.
+    usual_cost_ms: f64,
     /// Milliseconds of slots a second that this daemon may use in any case.
     share: f64,
     /// What is left of the share, in milliseconds of slots; negative after work that cost more.
@@ -100,6 +111,7 @@
             waited_at: Time::ZERO,
             open: 1.0,
             opened_at: Time::ZERO,
+            usual_cost_ms: UNKNOWN_COST_MS,
             share: 0.0,
             tokens: 0.0,
             refilled_at: Time::ZERO,
@@ -124,16 +136,17 @@
         self.wait_ms
     }
 
-    /// Asks to send new work; `draw` is a random number from 0 to 1.
-    pub fn admit(&mut self, now: Time, priority: u8, draw: f64) -> Admission {
+    /// Asks to send new work of about `cost_ms`; `draw` is a random number from 0 to 1.
+    pub fn admit(&mut self, now: Time, cost_ms: f64, priority: u8, draw: f64) -> Admission {
         self.advance(now);
         if !self.is_closed() || self.tokens > 0.0 {
             return Admission::Now;
         }
         let excess = (WAIT_TARGET_MS / self.wait_ms.max(1.0)).min(1.0);
         let ordinary = self.open * excess * excess;
-        let chance = if priority < ORDINARY_PRIORITY { ordinary.sqrt() } else { ordinary };
-        if draw < chance {
+        let size = (cost_ms / self.usual_cost_ms).clamp(SHORTEST, 1.0 / SHORTEST);
+        let weight = if priority < ORDINARY_PRIORITY { size / 2.0 } else { size };
+        if draw < ordinary.powf(weight) {
             return Admission::Now;
         }
         let debt = Duration::from_secs_f64((-self.tokens / self.share.max(1.0)).min(1.0));
@@ -144,6 +157,7 @@
     pub fn sent(&mut self, now: Time, cost_ms: f64) {
         self.advance(now);
         // Debts are bounded like savings: one long transaction must not close the gate for long.
+        self.usual_cost_ms += COST_GAIN * (cost_ms - self.usual_cost_ms);
         let limit = self.share * BURST.as_secs_f64() * 4.0;
         self.tokens = (self.tokens - cost_ms).max(-limit);
     }
--- a/crates/persimmon-place/tests/admission.rs
+++ b/crates/persimmon-place/tests/admission.rs
@@ -66,7 +66,7 @@
     for number in 0..200 {
         let now = at(1_000 + number * 100);
         gate.answered(now, 300.0);
-        if gate.admit(now, 2, NEVER_LUCKY) == Admission::Now {
+        if gate.admit(now, 28.0, 2, NEVER_LUCKY) == Admission::Now {
             gate.sent(now, 28.0);
             admitted += 1;
         }
@@ -81,7 +81,7 @@
     let mut gate = congested_gate(None);
     gate.answered(at(1_000), 300.0);
 
-    let admission = gate.admit(at(1_001), 2, NEVER_LUCKY);
+    let admission = gate.admit(at(1_001), 28.0, 2, NEVER_LUCKY);
 
     assert!(matches!(admission, Admission::After(_)), "{admission:?}");
 }
@@ -90,7 +90,29 @@
 fn a_quiet_daemon_forgets_the_congestion() {
     let mut gate = congested_gate(None);
 
-    let admission = gate.admit(at(30_000), 2, NEVER_LUCKY);
+    let admission = gate.admit(at(30_000), 28.0, 2, NEVER_LUCKY);
 
     assert_eq!(admission, Admission::Now);
 }
+
+#[test]
+fn short_work_passes_more_often_than_long_work() {
+    let mut gate = Gate::new();
+    for number in 0..100 {
+        gate.sent(at(number), 28.0);
+        gate.answered(at(number), 90.0);
+    }
+    let mut passed = [0, 0];
+
+    for number in 0..200 {
+        let draw = (f64::from(number) * 0.618).fract();
+        for (index, cost_ms) in [(0, 9.0), (1, 47.0)] {
+            if gate.admit(at(100), cost_ms, 2, draw) == Admission::Now {
+                passed[index] += 1;
+            }
+        }
+    }
+
+    assert!(passed[0] > passed[1] * 3, "{passed:?}");
+    assert!(passed[1] > 0, "long work starves: {passed:?}");
+}
--- a/crates/persimmon-place/tests/crest.rs
+++ b/crates/persimmon-place/tests/crest.rs
@@ -101,7 +101,9 @@
                     return;
                 }
                 let draw = self.rng.random_range(0.0..1.0);
-                if self.gates[op.daemon].admit(at(time), 2, draw) == Admission::Now {
+                if self.gates[op.daemon].admit(at(time), WORK_US as f64 / 1_000.0, 2, draw)
+                    == Admission::Now
+                {
                     self.handle(time, Event::Try(op));
                 }
             }
@@ -205,7 +207,7 @@
         gate.answered(now, 100.0);
         for (index, priority) in [(0, 1), (1, 2)] {
             let draw = (number as f64 * 0.618).fract();
-            if gate.admit(now, priority, draw) == Admission::Now {
+            if gate.admit(now, 9.0, priority, draw) == Admission::Now {
                 passed[index] += 1;
             }
         }
