The primary that said so last counts; a missing instance goes in time

Cause: of two instances that call themselves primary the directory took the first by id. An instance that dies with the lead keeps its entry for seconds, and a missing entry is kept for 4.5 s more; in that time a duty took the dead one for the primary although its successor led, so that a daemon that could not reach the successor for a moment found a reason to promote a third. The time for which a missing instance is kept was a constant; with a limit for leaving instances of less than 7 s it would have been given work after it.

Ruled out: comparing times of birth (an instance may be reborn as a replica).

Change: the latest revision counts, listed entries before missing ones. The pause between readings of the directory and the time that missing entries are kept follow the limit for leaving instances. A setting that nothing read is gone.

--- a/crates/persimmon-front/src/control/follow.rs
+++ b/crates/persimmon-front/src/control/follow.rs
@@ -7,14 +7,14 @@
 use rand::Rng;
 
 use crate::control::Control;
+use crate::directory::longest_delay;
 
 /// How long a watch waits at the store, just below the thirty seconds that a store allows: each
 /// watch that ends is a call, and one whose revision has left the history costs a listing besides.
 /// The connection itself breaks when the store goes silent.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 
-/// Pause after a change of the directory, so that changes close together cost one call. A fraction
-/// of the time within which an instance that is leaving must receive nothing more.
+/// Pause after a change of the directory, so that changes close together cost one call.
 const DIRECTORY_PACE: Duration = Duration::from_millis(2_500);
 
 /// Pause after a change of the table: a fraction of the time in which one comes into force, so that
@@ -60,7 +60,8 @@
 
 /// Follows the instance directory.
 pub(crate) async fn follow_directory(control: Rc<Control>) {
-    follow(control, Kind::Instances, DIRECTORY_PACE).await;
+    let pace = DIRECTORY_PACE.min(longest_delay(control.settings.leaving_limit));
+    follow(control, Kind::Instances, pace).await;
 }
 
 async fn follow(control: Rc<Control>, kind: Kind, pace: Duration) {
--- a/crates/persimmon-front/src/control/mod.rs
+++ b/crates/persimmon-front/src/control/mod.rs
@@ -143,6 +143,7 @@
 
 async fn run(parts: Parts) {
     let platform = (parts.connect)().await;
+    let directory = Directory::new(parts.settings.leaving_limit);
     let control = Rc::new(Control {
         settings: parts.settings,
         platform,
@@ -150,7 +151,7 @@
         instances: parts.instances,
         metrics: parts.metrics,
         table: RefCell::default(),
-        directory: RefCell::default(),
+        directory: RefCell::new(directory),
         has_directory: Cell::new(false),
         store_answers: Cell::new(false),
         shelf: Arc::default(),
--- a/crates/persimmon-front/src/directory.rs
+++ b/crates/persimmon-front/src/directory.rs
@@ -15,10 +15,24 @@
 
 use crate::view::Listed;
 
-/// How long a missing instance is kept: two seconds for entries to come back, and time to replace a
-/// primary before the instance must receive nothing more.
+/// How long a missing instance is kept at the most: two seconds for entries to come back, and time to
+/// replace a primary.
 const KEEP_MISSING: Duration = Duration::from_millis(4_500);
 
+/// The part of the time within which a leaving instance must receive nothing more that may pass
+/// before its entry is seen to be missing.
+const SEEN_WITHIN: u32 = 3;
+
+/// What is left of that time for statements on their way.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+
+/// How long the directory may be out of date, where an instance that is leaving must receive nothing
+/// more after `leaving_limit`.
+#[must_use]
+pub(crate) fn longest_delay(leaving_limit: Duration) -> Duration {
+    leaving_limit / SEEN_WITHIN
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     instance: Arc<Instance>,
@@ -27,8 +41,10 @@
 }
 
 /// The directory.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
+    /// How long a missing instance is kept.
+    keep_missing: Duration,
     entries: HashMap<Arc<str>, Entry>,
     /// Revisions of entries that were removed, so that a late write does not revive them.
     removed: HashMap<Arc<str>, u64>,
@@ -36,10 +52,17 @@
 }
 
 impl Directory {
-    /// Creates an empty directory.
+    /// Creates an empty directory, where an instance that is leaving must receive nothing more after
+    /// `leaving_limit`.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(leaving_limit: Duration) -> Self {
+        let unseen = longest_delay(leaving_limit) + ON_THE_WAY;
+        Self {
+            keep_missing: KEEP_MISSING.min(leaving_limit.saturating_sub(unseen)),
+            entries: HashMap::new(),
+            removed: HashMap::new(),
+            ticked_at: None,
+        }
     }
 
     /// Takes in a full listing; returns whether anything but heartbeats changed.
@@ -143,7 +166,7 @@
                 continue;
             }
             *missing_for += passed;
-            if *missing_for >= KEEP_MISSING {
+            if *missing_for >= self.keep_missing {
                 gone.push((Arc::clone(id), entry.revision));
             }
         }
@@ -160,8 +183,11 @@
     pub fn by_service(&self) -> HashMap<Arc<str>, Vec<Listed>> {
         let mut services: HashMap<Arc<str>, Vec<Listed>> = HashMap::new();
         for entry in self.entries.values() {
-            let listed =
-                Listed { instance: Arc::clone(&entry.instance), missing_for: entry.missing_for };
+            let listed = Listed {
+                instance: Arc::clone(&entry.instance),
+                revision: entry.revision,
+                missing_for: entry.missing_for,
+            };
             services.entry(Arc::clone(&entry.instance.service)).or_default().push(listed);
         }
         for listed in services.values_mut() {
--- a/crates/persimmon-front/src/settings.rs
+++ b/crates/persimmon-front/src/settings.rs
@@ -25,8 +25,6 @@
     pub store: SocketAddr,
     /// The authority that promotes instances.
     pub authority: SocketAddr,
-    /// How often instances write to the directory.
-    pub heartbeat: Duration,
     /// How long an instance that is leaving may still receive requests.
     pub leaving_limit: Duration,
     /// How long the process lives after it was asked to stop.
--- a/crates/persimmon-front/src/view.rs
+++ b/crates/persimmon-front/src/view.rs
@@ -11,6 +11,8 @@
 pub struct Listed {
     /// The latest valid entry.
     pub instance: Arc<Instance>,
+    /// The store's revision of that entry.
+    pub revision: u64,
     /// How long the entry has been missing while the store answered.
     pub missing_for: Option<Duration>,
 }
@@ -41,10 +43,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// The instance that calls itself primary.
+    /// The instance that calls itself primary; of several the one that said so last, since one that
+    /// died with the lead cannot take its word back.
     #[must_use]
     pub fn self_declared_primary(&self, service: &str) -> Option<&Listed> {
-        self.instances(service).iter().find(|l| l.instance.role == Role::Primary)
+        let primaries = self.instances(service).iter().filter(|l| l.instance.role == Role::Primary);
+        primaries.max_by_key(|l| (l.missing_for.is_none(), l.revision))
     }
 
     /// One instance of a service.
