A daemon whose primary is full asks peers for samples, also in a young fleet

Cause: since a fleet that has just started samples for itself, daemons that the primary refused for its cap (84 connections, 122 daemons) had nobody to ask for three seconds; 220 reads a second waited 0.9 s for a position and were refused.

--- a/crates/persimmon-front/src/primaries.rs
+++ b/crates/persimmon-front/src/primaries.rs
@@ -292,27 +292,36 @@
     /// Gets a sample of the primary's log; the caller has set `is_sampling`.
     async fn sample(&self, service: &Arc<str>, max_age: Duration, until: Time) {
         let sampling = self.sampling(service);
-        // In a fleet that has just started the peers that sample are as busy as this daemon.
-        let is_settled = self.peers.daemons().is_some();
         let is_scarce = self.believed_leader(service).is_some_and(|leader| {
             self.pool.is_scarce(&leader.id, Clock.now()) && !self.pool.has_idle(&leader.id)
         });
-        if !is_settled || !is_scarce || !self.borrow_sample(service, max_age).await {
-            self.sample_here(service, until.min(Clock.now() + ASK_LIMIT * 2)).await;
+        // In a fleet that has just started, the peers that sample are as busy as this daemon, and
+        // they are asked only if the primary takes no more connections.
+        let asks_first = is_scarce && self.peers.daemons().is_some();
+        if !asks_first || !self.borrow_sample(service, max_age).await {
+            let is_taken = self.sample_here(service, until.min(Clock.now() + ASK_LIMIT * 2)).await;
+            if !is_taken && is_scarce && !asks_first {
+                self.borrow_sample(service, max_age).await;
+            }
         }
         drop(sampling);
     }
 
-    async fn sample_here(&self, service: &Arc<str>, until: Time) {
+    /// Samples the primary's log; returns whether the primary answered.
+    async fn sample_here(&self, service: &Arc<str>, until: Time) -> bool {
         Metrics::add(&self.metrics.samples);
         let Some(leader) = self.leader(service, until).await else {
-            return;
+            return false;
         };
         match self.open_guarded(&leader, &Wanted::default(), until).await {
-            Ok(mut lease) => self.rollback(&mut lease).await,
+            Ok(mut lease) => {
+                self.rollback(&mut lease).await;
+                true
+            }
             Err(why) => {
                 tracing::debug!(%service, instance = %leader.id, ?why, "no sample");
                 tokio::time::sleep(Duration::from_millis(5)).await;
+                false
             }
         }
     }
