Greetings are decided without I/O; carrying is split into job, exchange and carry

Cause: the pool decided how many connections to open between its I/O, out of reach of a test without a network, and transaction.rs had grown to 529 lines of four jobs.

Change: persimmon-place holds Greetings and InUse; carry.rs places and retries, exchange.rs talks to one instance, job.rs holds what they pass on. Behaviour is meant to be the same, but that an instance's rebirth no longer forgets a greeting on its way.

--- a/crates/persimmon-front/src/lib.rs
+++ b/crates/persimmon-front/src/lib.rs
@@ -10,9 +10,12 @@
 //!   it is used again only if every answer was whole.
 //! - Nothing outlives the process.
 
+mod carry;
 mod control;
 mod directory;
 mod drain;
+mod exchange;
+mod job;
 mod link;
 mod logging;
 mod metrics;
@@ -29,7 +32,7 @@
 mod settings;
 mod socket;
 mod traffic;
-mod transaction;
+
 mod view;
 
 pub use directory::Directory;
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Gate, Keep, Load, Typical};
+use persimmon_place::{Gate, Greetings, InUse, Keep, Load};
 use persimmon_ports::{Code, Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
 use tokio::sync::{Notify, Semaphore};
@@ -22,17 +22,6 @@
 /// the statements that wait there.
 const OPEN_LIMIT: Duration = Duration::from_millis(600);
 
-/// Connections to one instance that are being opened at once: each occupies a slot there.
-const OPENING_LIMIT: usize = 1;
-
-/// Connections to all instances that are being opened at once, while greetings are answered without
-/// a wait. After a restart every daemon of the fleet greets every instance, and statements wait
-/// behind the greetings: a daemon then opens one at a time.
-const OPENING_LIMIT_ALL: u32 = 3;
-
-/// A greeting that took so much longer than usual has waited for a slot.
-const GREETING_WAIT_MS: f64 = 20.0;
-
 /// After a refusal for the cap no connection is asked for this long.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
@@ -68,10 +57,7 @@
 struct Host {
     born_ms: u64,
     idle: Vec<Link>,
-    lent: usize,
-    /// Those lent that an open transaction keeps, also while its caller pauses.
-    pinned: usize,
-    opening: usize,
+    in_use: InUse,
     keep: Keep,
     load: Load,
     gate: Gate,
@@ -92,10 +78,7 @@
     peers: Arc<PeerList>,
     hosts: RefCell<HashMap<Arc<str>, Host>>,
     openings: Semaphore,
-    /// How long a greeting usually takes.
-    greeting: Cell<Typical>,
-    /// Whether the latest greeting waited for a slot; so it may in a fleet that has just started.
-    greetings_wait: Cell<bool>,
+    greetings: Cell<Greetings>,
 }
 
 /// A connection that is lent.
@@ -123,7 +106,7 @@
         if let Some(host) = hosts.get_mut(&self.instance.id)
             && !std::mem::replace(&mut self.is_pinned, true)
         {
-            host.pinned += 1;
+            host.in_use.pinned += 1;
         }
     }
 }
@@ -143,16 +126,9 @@
         metrics: Arc<Metrics>,
         peers: Arc<PeerList>,
     ) -> Self {
-        let openings = Semaphore::new(OPENING_LIMIT_ALL as usize);
-        Self {
-            protocol,
-            metrics,
-            peers,
-            hosts: RefCell::default(),
-            openings,
-            greeting: Cell::default(),
-            greetings_wait: Cell::new(true),
-        }
+        let openings = Semaphore::new(Greetings::most_at_once() as usize);
+        let (hosts, greetings) = (RefCell::default(), Cell::default());
+        Self { protocol, metrics, peers, hosts, openings, greetings }
     }
 
     /// Whether connections to an instance are fewer than daemons, or refused lately.
@@ -186,8 +162,8 @@
         let Some(host) = hosts.get_mut(id) else {
             return;
         };
-        host.lent = host.lent.saturating_sub(1);
-        host.pinned = host.pinned.saturating_sub(usize::from(was_pinned));
+        host.in_use.lent = host.in_use.lent.saturating_sub(1);
+        host.in_use.pinned = host.in_use.pinned.saturating_sub(usize::from(was_pinned));
         if link.is_at_rest() {
             host.idle.push(link);
         }
@@ -204,12 +180,7 @@
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         if host.born_ms != instance.born_ms {
             // Another process has the identity now; what was known was of the one before.
-            *host = Host {
-                born_ms: instance.born_ms,
-                lent: host.lent,
-                pinned: host.pinned,
-                ..Host::default()
-            };
+            *host = Host { born_ms: instance.born_ms, in_use: host.in_use, ..Host::default() };
         }
         host.idle.retain(Link::is_at_rest);
         if host.idle.is_empty() {
@@ -217,7 +188,7 @@
         }
         let fitting = values.and_then(|v| host.idle.iter().position(|link| link.holds(v)));
         let index = fitting.unwrap_or(host.idle.len() - 1);
-        host.lent += 1;
+        host.in_use.lent += 1;
         Some(host.idle.remove(index))
     }
 
@@ -226,17 +197,9 @@
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         host.keep.set_share(cap, self.peers.daemons());
-        // One daemon alone must not take an instance's whole cap.
-        let is_within_cap = host.lent + host.opening < (cap / 2).max(1);
-        // Where statements wait for slots, more connections only make the queue longer, and each
-        // greeting takes a slot from a statement.
-        let in_use = host.lent.saturating_sub(host.pinned) + host.opening;
-        let may = host.opening < OPENING_LIMIT
-            && is_within_cap
-            && (in_use == 0 || !host.gate.is_closed())
-            && now >= host.refused_until;
+        let may = host.in_use.may_open(cap, host.gate.is_closed()) && now >= host.refused_until;
         if may {
-            host.opening += 1;
+            host.in_use.opening += 1;
         }
         may
     }
@@ -275,7 +238,7 @@
                 if before != host.failures {
                     return Err(host.failed_with.clone().unwrap_or(Unavailable::Waited));
                 }
-                if now < host.refused_until && host.lent + host.opening == 0 {
+                if now < host.refused_until && host.in_use.lent + host.in_use.opening == 0 {
                     return Err(Unavailable::Full);
                 }
                 Rc::clone(&host.freed)
@@ -289,7 +252,8 @@
     /// Opens a connection and lays it out for whoever waits.
     async fn open(&self, instance: &Arc<Instance>) {
         let opening = Opening { pool: self, id: &instance.id };
-        let permits = if self.greetings_wait.get() { OPENING_LIMIT_ALL } else { 1 };
+        // Few at once means that each takes a larger part of the permits.
+        let permits = Greetings::most_at_once() / self.greetings.get().at_once();
         let Ok(_permit) = self.openings.acquire_many(permits).await else {
             return;
         };
@@ -307,14 +271,12 @@
             return;
         }
         let took_ms = took.as_secs_f64() * 1_000.0;
-        let mut typical = self.greeting.get();
+        let mut greetings = self.greetings.get();
         let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.entry(Arc::clone(&instance.id)).or_default();
-        let wait_ms = took_ms - typical.ms();
-        host.gate.answered(Clock.now(), wait_ms);
-        self.greetings_wait.set(wait_ms > GREETING_WAIT_MS);
-        typical.observe(took_ms, !host.gate.is_closed());
-        self.greeting.set(typical);
+        let gate = &mut hosts.entry(Arc::clone(&instance.id)).or_default().gate;
+        let wait_ms = greetings.answered(took_ms, !gate.is_closed());
+        gate.answered(Clock.now(), wait_ms);
+        self.greetings.set(greetings);
     }
 
     fn opened(&self, instance: &Instance, opened: Result<Link, LinkError>) {
@@ -335,7 +297,7 @@
         Metrics::add(&self.metrics.connections_failed);
         if !std::mem::replace(&mut host.is_failing, true) {
             tracing::info!(instance = %instance.id, address = %instance.address, error = %err,
-                lent = host.lent, idle = host.idle.len(), "no connection to an instance");
+                lent = host.in_use.lent, idle = host.idle.len(), "no connection to an instance");
         }
         let unavailable = unavailable(&err);
         if unavailable == Unavailable::Full {
@@ -354,7 +316,7 @@
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         host.keep.set_share(cap as usize, self.peers.daemons());
-        let has_none = host.idle.is_empty() && host.lent + host.opening == 0;
+        let has_none = host.idle.is_empty() && host.in_use.lent + host.in_use.opening == 0;
         has_none && host.keep.limit(now) > 0 && !host.load.is_avoided(now)
     }
 
@@ -371,7 +333,7 @@
     /// Closes connections that have been idle for long, or that belong to instances that are gone.
     pub(crate) fn sweep(&self, now: Time, is_listed: impl Fn(&str) -> bool) {
         let mut hosts = self.hosts.borrow_mut();
-        hosts.retain(|id, host| host.lent + host.opening > 0 || is_listed(id));
+        hosts.retain(|id, host| host.in_use.lent + host.in_use.opening > 0 || is_listed(id));
         for (id, host) in hosts.iter_mut() {
             if !is_listed(id) {
                 host.idle.clear();
@@ -415,7 +377,7 @@
 impl Drop for Opening<'_> {
     fn drop(&mut self) {
         if let Some(host) = self.pool.hosts.borrow_mut().get_mut(self.id) {
-            host.opening = host.opening.saturating_sub(1);
+            host.in_use.opening = host.in_use.opening.saturating_sub(1);
             // All that wait: one takes the connection, another may open the next.
             host.freed.notify_waiters();
         }
--- a/crates/persimmon-front/src/session.rs
+++ b/crates/persimmon-front/src/session.rs
@@ -22,11 +22,11 @@
 };
 use persimmon_types::{Clock, Position, Time};
 
+use crate::job::RETRY_AFTER;
 use crate::link::{Answer, Shape};
 use crate::metrics::Metrics;
 use crate::pool::Lease;
 use crate::traffic::{Stage, Worker};
-use crate::transaction::RETRY_AFTER;
 
 /// How long a caller may take to open its session.
 const OPENING_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/persimmon-front/src/session/statements.rs
+++ b/crates/persimmon-front/src/session/statements.rs
@@ -8,11 +8,12 @@
 use persimmon_ports::{Access, Code, Freshness, Query, Route, Statement, TxStatus};
 use persimmon_types::{Clock, Position, Time};
 
+use crate::exchange::InFlight;
+use crate::job::{Carried, Job, Mode, RETRY_AFTER, access, lone_mode};
 use crate::link::{Answer, Shape, Wanted};
 use crate::metrics::Metrics;
 use crate::pool::Lease;
 use crate::session::{Session, Tx, ready, refusal};
-use crate::transaction::{Carried, InFlight, Job, Mode, RETRY_AFTER, access, lone_mode};
 
 /// Pause before a busy instance is asked again inside a transaction.
 const RETRY_PAUSE: Duration = Duration::from_millis(12);
--- a/crates/persimmon-place/src/lib.rs
+++ b/crates/persimmon-place/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod freshness;
 mod gate;
+mod greetings;
 mod placing;
 mod retry;
 mod typical;
@@ -16,6 +17,7 @@
 pub use connections::Keep;
 pub use freshness::{Sample, Samples};
 pub use gate::{Admission, Gate};
+pub use greetings::{Greetings, InUse};
 pub use placing::{Candidate, Load, choose};
 pub use retry::{Attempt, Failure, Next, after_failure};
 pub use typical::Typical;
