Placing counts a greeting as one and a half statements

Cause: a connection that has to be opened was worth half a statement, though its greeting occupies a slot as long as a statement does and the statement waits for it.

--- a/crates/persimmon-place/src/placing.rs
+++ b/crates/persimmon-place/src/placing.rs
@@ -32,7 +32,7 @@
 
 /// How much a statement costs more, in statements, where a connection has to be opened first: the
 /// greeting occupies a slot about as long as a statement, and the statement waits for it.
-const GREETING_COST: f64 = 0.5;
+const GREETING_COST: f64 = 1.5;
 
 /// What one daemon has observed at one instance.
 #[derive(Clone, Debug)]
