A read that was lost once is not said not to have run

Reads keep nothing, so that no promise about data was broken; the words were untrue.

Change: the final code is TimedOut after a lost attempt. Tests: two in retry.rs; the first fails without the rule.

--- a/crates/persimmon-front/src/carry.rs
+++ b/crates/persimmon-front/src/carry.rs
@@ -42,8 +42,7 @@
             let chosen = self.place(job, &mut carried, &tried).await;
             let Some(instance) = chosen else {
                 carried.failure = Some(Failure::NotSent);
-                carried.result = Err(Code::Busy);
-                return carried;
+                return carried.refused(Code::Busy);
             };
             if let Admission::After(retry_after) = self.admit(job, &instance, &mut carried) {
                 tried.push(Arc::clone(&instance.id));
@@ -57,8 +56,7 @@
                     continue;
                 }
                 Metrics::add(&self.metrics.held_back);
-                carried.result = Err(Code::Busy);
-                return carried;
+                return carried.refused(Code::Busy);
             }
             carried.attempts += 1;
             carried.instance = Some(Arc::clone(&instance));
@@ -84,12 +82,10 @@
                 failure != Failure::NotSent || carried.connection_wait < job.route.target;
             let has_time = has_patience && Clock.now() + LEAST_TIME < job.until;
             let next = after_failure(carried.mode.attempt(), &failure, has_time);
+            carried.was_lost |= failure == Failure::Lost;
             carried.failure = Some(failure);
             match next {
-                Next::Refuse(code) => {
-                    carried.result = Err(code);
-                    return carried;
-                }
+                Next::Refuse(code) => return carried.refused(code),
                 Next::FindPrimary => {
                     self.not_leading(&job.route.service, &instance.id, "it refused a write");
                 }
--- a/crates/persimmon-front/src/job.rs
+++ b/crates/persimmon-front/src/job.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_place::{Attempt, Failure};
+use persimmon_place::{Attempt, Failure, refused_with};
 use persimmon_ports::{Access, Code, Instance, Query, Route, Statement};
 use persimmon_types::{Position, Time};
 
@@ -90,6 +90,8 @@
     /// How long statements waited lately at the instance that was held to have no room, in
     /// milliseconds.
     pub(crate) congestion_ms: Option<f64>,
+    /// Whether an attempt was sent and had no answer.
+    pub(crate) was_lost: bool,
     /// Whether it has waited for room.
     pub(crate) was_held: bool,
     /// When the caller may come back, if the statement was held back.
@@ -112,12 +114,19 @@
             after: None,
             failure: None,
             congestion_ms: None,
+            was_lost: false,
             was_held: false,
             retry_after: RETRY_AFTER,
             floor_wait: Duration::ZERO,
             connection_wait: Duration::ZERO,
         }
     }
+
+    /// The same, refused with a code that is true of all its attempts.
+    pub(crate) fn refused(mut self, code: Code) -> Self {
+        self.result = Err(refused_with(code, self.was_lost));
+        self
+    }
 }
 
 /// How a statement outside a transaction is carried.
--- a/crates/persimmon-place/src/lib.rs
+++ b/crates/persimmon-place/src/lib.rs
@@ -19,5 +19,5 @@
 pub use gate::{Admission, Gate};
 pub use greetings::{Greetings, InUse};
 pub use placing::{Candidate, Load, choose};
-pub use retry::{Attempt, Failure, Next, after_failure};
+pub use retry::{Attempt, Failure, Next, after_failure, refused_with};
 pub use typical::Typical;
--- a/crates/persimmon-place/src/retry.rs
+++ b/crates/persimmon-place/src/retry.rs
@@ -79,3 +79,10 @@
         Attempt::Read | Attempt::Write | Attempt::First => Next::Retry,
     }
 }
+
+/// The code with which a statement is refused in the end, where `was_lost` tells whether an earlier
+/// attempt was sent and had no answer: it may have run, so that no promise holds.
+#[must_use]
+pub fn refused_with(code: Code, was_lost: bool) -> Code {
+    if was_lost && code.is_not_run() { Code::TimedOut } else { code }
+}
--- a/crates/persimmon-place/tests/retry.rs
+++ b/crates/persimmon-place/tests/retry.rs
@@ -1,6 +1,6 @@
 //! What follows a failure: the promises that callers rely on.
 
-use persimmon_place::{Attempt, Failure, Next, after_failure};
+use persimmon_place::{Attempt, Failure, Next, after_failure, refused_with};
 use persimmon_ports::Code;
 
 const ATTEMPTS: [Attempt; 6] = [
@@ -86,3 +86,17 @@
         assert_eq!(next, Next::FindPrimary);
     }
 }
+
+#[test]
+fn a_read_that_was_lost_once_is_never_said_not_to_have_run() {
+    let code = refused_with(Code::Busy, true);
+
+    assert_eq!(code, Code::TimedOut);
+}
+
+#[test]
+fn a_read_that_no_instance_received_is_said_not_to_have_run() {
+    let code = refused_with(Code::Busy, false);
+
+    assert_eq!(code, Code::Busy);
+}
