Only the instance in doubt is left out when a successor is chosen

Cause: before a promotion every instance was asked but those that the directory called primary. An instance that another daemon had just promoted, or that had come back as a replica while its entry still said primary, was left out: a successor was chosen that lacked commits which only that one held.

Ruled out: the greetings and shares of today (the choice of candidates is older); a late order (the log shows the wrong candidate chosen, from an answer without the successor).

Change: the duty remembers which primary gave reason to doubt; every other instance is asked.

Open: whether a claim is fresh is judged by the wall clocks of two hosts; when they jump, several daemons order, which the fence and this change make harmless, not rare.

Tests: three in duty.rs; the one that names the candidate fails without the change.

--- a/crates/persimmon-front/src/control/duties.rs
+++ b/crates/persimmon-front/src/control/duties.rs
@@ -293,7 +293,8 @@
     let listed = view.instances(&running.service);
     // A primary that has just been found dead would only hold up the answer.
     let is_planned = sight(control, &running.service).is_planned();
-    let is_asked = |l: &&Listed| is_planned || l.instance.role == Role::Replica;
+    let failed = running.duty.borrow().failed().cloned();
+    let is_asked = |l: &&Listed| is_planned || Some(&l.instance.id) != failed.as_ref();
     let listed: Vec<Listed> = listed.iter().filter(is_asked).cloned().collect();
     let asked = running.links.ask(control, &listed, None).await;
     let newest = asked.iter().filter_map(|a| a.status.map(|s| s.term)).max();
--- a/crates/persimmon-lead/src/duty.rs
+++ b/crates/persimmon-lead/src/duty.rs
@@ -96,6 +96,8 @@
     /// Rounds in which an instance that might hold more was late.
     late_rounds: u32,
     primary: Option<Arc<str>>,
+    /// The primary that gave reason to doubt; the directory may name another one since.
+    doubted: Option<Arc<str>>,
 }
 
 impl Duty {
@@ -112,6 +114,7 @@
             has_stopped: false,
             late_rounds: 0,
             primary: None,
+            doubted: None,
         }
     }
 
@@ -139,6 +142,14 @@
         self.token
     }
 
+    /// The primary that is taken for failed, if one is in doubt. Every other instance has to be asked
+    /// before one is chosen, whatever the directory says of its role: it may lead by now, or hold
+    /// what no other does.
+    #[must_use]
+    pub fn failed(&self) -> Option<&Arc<str>> {
+        self.doubted.as_ref().filter(|_| !self.is_calm())
+    }
+
     /// Whether nothing is in doubt.
     #[must_use]
     pub fn is_calm(&self) -> bool {
@@ -260,6 +271,7 @@
 
     /// The holder looks at once; others leave it some time, so that few probe and claim.
     fn suspect(&mut self, now: Time, need: Need, actions: &mut Vec<Action>) {
+        self.doubted.clone_from(&self.primary);
         if self.token.is_some() {
             self.doubt(now, need, actions);
             return;
@@ -420,7 +432,7 @@
         };
         let is_planned = matches!(need, Need::Draining | Need::Missing);
         let leads = |a: &&Asked| a.status.is_some_and(|s| s.role == Role::Primary);
-        let old = sight.primary.clone().or_else(|| self.primary.clone());
+        let old = self.doubted.clone().or_else(|| sight.primary.clone());
         let newest = asked.iter().filter_map(|a| a.status.map(|s| s.term)).max();
         let leader = asked.iter().filter(leads).max_by_key(|a| a.status.map(|s| s.term));
         if let Some(leader) = leader {
--- a/crates/persimmon-lead/tests/duty.rs
+++ b/crates/persimmon-lead/tests/duty.rs
@@ -355,3 +355,40 @@
     assert!(second.is_of("x", 2));
     assert!(!second.is_of("x", 1));
 }
+
+#[test]
+fn the_instance_in_doubt_stays_the_same_when_the_directory_names_another() {
+    let mut play = Play::holder(sight("a"));
+    play.confirm_dead();
+
+    play.sight = sight("b");
+    play.input(205, Input::Tick);
+
+    assert_eq!(play.duty.failed(), Some(&id("a")));
+}
+
+#[test]
+fn a_candidate_that_the_directory_calls_primary_is_not_passed_over_for_one_that_lacks_commits() {
+    let mut play = Play::holder(sight("a"));
+    play.duty.set_synchronous(true);
+    play.confirm_dead();
+    play.sight = sight("b");
+
+    let asked = vec![status("b", Role::Replica, 1, 9), status("c", Role::Replica, 1, 5)];
+    let actions = play.input(210, Input::Asked(asked));
+
+    assert_eq!(actions, [Action::Order { candidate: id("b"), token: 7 }]);
+}
+
+#[test]
+fn nobody_is_promoted_over_a_successor_that_another_daemon_has_ordered() {
+    let mut play = Play::holder(sight("a"));
+    play.confirm_dead();
+    play.sight = sight("b");
+
+    let asked = vec![status("b", Role::Primary, 2, 9), status("c", Role::Replica, 2, 5)];
+    let actions = play.input(210, Input::Asked(asked));
+
+    assert_eq!(actions, []);
+    assert!(play.duty.is_calm());
+}
