--- a/crates/persimmon-front/src/link.rs
+++ b/crates/persimmon-front/src/link.rs
@@ -126,8 +126,21 @@
         limit: Duration,
     ) -> Result<Self, LinkError> {
         let began = Clock.now();
+        let mut link = Self::connect(protocol, instance, limit).await?;
+        link.greet(instance, limit.saturating_sub(Clock.now().since(began))).await?;
+        Ok(link)
+    }
+
+    /// Connects to the instance's host, which occupies no slot; the link can be used once it has
+    /// greeted the instance.
+    pub(crate) async fn connect(
+        protocol: &Arc<dyn InstanceProtocol>,
+        instance: &Instance,
+        limit: Duration,
+    ) -> Result<Self, LinkError> {
+        let used_at = Clock.now();
         let io = socket::connect(instance.address, limit).await?;
-        let mut link = Self {
+        Ok(Self {
             io,
             codec: ReplyCodec(Arc::clone(protocol)),
             values: BTreeMap::new(),
@@ -135,15 +148,19 @@
             named: 0,
             unanswered: 0,
             has_transaction: false,
-            used_at: began,
-        };
-        link.send(&[Command::Open { service: &instance.service, instance: &instance.id }])?;
-        let left = limit.saturating_sub(Clock.now().since(began));
-        let opened = link.answer(left.max(Duration::from_millis(1))).await?;
-        match opened.result {
-            Ok(_) => Ok(link),
-            Err((code, text)) => Err(LinkError::Refused(code, text)),
-        }
+            used_at,
+        })
+    }
+
+    /// Greets the instance, which waits for a slot there.
+    pub(crate) async fn greet(
+        &mut self,
+        instance: &Instance,
+        limit: Duration,
+    ) -> Result<(), LinkError> {
+        self.send(&[Command::Open { service: &instance.service, instance: &instance.id }])?;
+        let greeted = self.answer(limit.max(Duration::from_millis(1))).await?;
+        greeted.result.map(|_| ()).map_err(|(code, text)| LinkError::Refused(code, text))
     }
 
     /// Whether every message sent has been answered whole and no transaction is open.
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -252,24 +252,33 @@
     /// Opens a connection and lays it out for whoever waits.
     async fn open(&self, instance: &Arc<Instance>) {
         let opening = Opening { pool: self, id: &instance.id };
+        let connected = Link::connect(&self.protocol, instance, OPEN_LIMIT).await;
+        let opened = match connected {
+            Ok(link) => self.greet(instance, link).await,
+            Err(err) => Err(err),
+        };
+        self.opened(instance, opened);
+        drop(opening);
+    }
+
+    /// Greets an instance when it is this greeting's turn. Hosts that do not answer are not waited
+    /// for in that order, so that they hold up no greeting elsewhere.
+    async fn greet(&self, instance: &Instance, mut link: Link) -> Result<Link, LinkError> {
         // Few at once means that each takes a larger part of the permits.
         let permits = Greetings::most_at_once() / self.greetings.get().at_once();
         let Ok(_permit) = self.openings.acquire_many(permits).await else {
-            return;
+            unreachable!("the semaphore is never closed");
         };
         let began = Clock.now();
-        let opened = Link::open(&self.protocol, instance, OPEN_LIMIT).await;
-        self.greeted(instance, &opened, Clock.now().since(began));
-        self.opened(instance, opened);
-        drop(opening);
+        let greeted = link.greet(instance, OPEN_LIMIT).await;
+        if matches!(greeted, Ok(()) | Err(LinkError::TimedOut)) {
+            self.greeted(instance, Clock.now().since(began));
+        }
+        greeted.map(|()| link)
     }
 
     /// Takes in how long a greeting took: it waits for a slot like a statement.
-    fn greeted(&self, instance: &Instance, opened: &Result<Link, LinkError>, took: Duration) {
-        let is_queued = matches!(opened, Ok(_) | Err(LinkError::TimedOut));
-        if !is_queued {
-            return;
-        }
+    fn greeted(&self, instance: &Instance, took: Duration) {
         let took_ms = took.as_secs_f64() * 1_000.0;
         let mut greetings = self.greetings.get();
         let mut hosts = self.hosts.borrow_mut();
