What a second reading found held twice

Three times of the gate were always set together and are one; a bound of the time to come back stood twice; whether a connection is in use was spelled out three times; until when a connection is awaited twice. A comment stood at the wrong line.

--- a/crates/persimmon-front/src/exchange.rs
+++ b/crates/persimmon-front/src/exchange.rs
@@ -45,7 +45,7 @@
     ) -> Result<Lease, Failure> {
         match carried.mode {
             Mode::Guarded | Mode::PrimaryTransaction => {
-                let until = job.until.min(Clock.now() + job.route.target);
+                let until = job.connected_by(Clock.now());
                 let opened = self.open_guarded(instance, &wanted, until).await;
                 opened.map_err(|why| match why {
                     Guarded::NotLeading => Failure::Answered(Code::ReadOnly),
@@ -68,7 +68,7 @@
         wanted: &Wanted<'_>,
     ) -> Result<Lease, Failure> {
         let service = &instance.service;
-        let until = job.until.min(Clock.now() + job.route.target);
+        let until = job.connected_by(Clock.now());
         let acquired = self.pool.acquire(instance, wanted.values, self.cap(service), until).await;
         let mut lease = match acquired {
             Ok(lease) => lease,
--- a/crates/persimmon-front/src/job.rs
+++ b/crates/persimmon-front/src/job.rs
@@ -70,6 +70,14 @@
     pub(crate) until: Time,
 }
 
+impl Job<'_> {
+    /// Until when the statement waits for a connection: a caller that is refused after its objective
+    /// can still try elsewhere.
+    pub(crate) fn connected_by(&self, now: Time) -> Time {
+        self.until.min(now + self.route.target)
+    }
+}
+
 /// What became of a statement, with what explains it.
 #[derive(Debug)]
 pub(crate) struct Carried {
--- a/crates/persimmon-front/src/pool.rs
+++ b/crates/persimmon-front/src/pool.rs
@@ -226,8 +226,7 @@
             if now >= until {
                 return Err(Unavailable::Waited);
             }
-            let is_opening = self.may_open(instance, now, cap as usize);
-            if is_opening {
+            if self.may_open(instance, now, cap as usize) {
                 let (pool, instance) = (Rc::clone(self), Arc::clone(instance));
                 ntex::rt::spawn(async move { pool.open(&instance).await });
             }
@@ -238,7 +237,7 @@
                 if before != host.failures {
                     return Err(host.failed_with.clone().unwrap_or(Unavailable::Waited));
                 }
-                if now < host.refused_until && host.in_use.lent + host.in_use.opening == 0 {
+                if now < host.refused_until && host.in_use.is_empty() {
                     return Err(Unavailable::Full);
                 }
                 Rc::clone(&host.freed)
@@ -325,7 +324,7 @@
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.entry(Arc::clone(&instance.id)).or_default();
         host.keep.set_share(cap as usize, self.peers.daemons());
-        let has_none = host.idle.is_empty() && host.in_use.lent + host.in_use.opening == 0;
+        let has_none = host.idle.is_empty() && host.in_use.is_empty();
         has_none && host.keep.limit(now) > 0 && !host.load.is_avoided(now)
     }
 
@@ -342,7 +341,7 @@
     /// Closes connections that have been idle for long, or that belong to instances that are gone.
     pub(crate) fn sweep(&self, now: Time, is_listed: impl Fn(&str) -> bool) {
         let mut hosts = self.hosts.borrow_mut();
-        hosts.retain(|id, host| host.in_use.lent + host.in_use.opening > 0 || is_listed(id));
+        hosts.retain(|id, host| !host.in_use.is_empty() || is_listed(id));
         for (id, host) in hosts.iter_mut() {
             if !is_listed(id) {
                 host.idle.clear();
--- a/crates/persimmon-place/src/gate.rs
+++ b/crates/persimmon-place/src/gate.rs
@@ -82,18 +82,17 @@
 #[derive(Clone, Debug)]
 pub struct Gate {
     wait_ms: f64,
-    waited_at: Time,
     /// The part of the work beyond the daemon's share that is admitted, before the present wait is
     /// taken into account.
     open: f64,
-    opened_at: Time,
     /// What work usually costs here, in milliseconds.
     usual_cost_ms: f64,
     /// Milliseconds of slots a second that this daemon may use in any case.
     share: f64,
     /// What is left of the share, in milliseconds of slots; negative after work that cost more.
     tokens: f64,
-    refilled_at: Time,
+    /// Until when time has passed for all of these.
+    advanced_at: Time,
 }
 
 impl Default for Gate {
@@ -108,13 +107,11 @@
     pub fn new() -> Self {
         Self {
             wait_ms: 0.0,
-            waited_at: Time::ZERO,
             open: 1.0,
-            opened_at: Time::ZERO,
             usual_cost_ms: UNKNOWN_COST_MS,
             share: 0.0,
             tokens: 0.0,
-            refilled_at: Time::ZERO,
+            advanced_at: Time::ZERO,
         }
     }
 
@@ -149,15 +146,15 @@
         if draw < ordinary.powf(weight) {
             return Admission::Now;
         }
-        let debt = Duration::from_secs_f64((-self.tokens / self.share.max(1.0)).min(1.0));
+        let debt = Duration::from_secs_f64(-self.tokens / self.share.max(1.0));
         Admission::After(debt.clamp(LEAST_RETRY, MOST_RETRY))
     }
 
     /// Takes in that work of about `cost_ms` was sent.
     pub fn sent(&mut self, now: Time, cost_ms: f64) {
         self.advance(now);
-        // Debts are bounded like savings: one long transaction must not close the gate for long.
         self.usual_cost_ms += COST_GAIN * (cost_ms - self.usual_cost_ms);
+        // Debts are bounded like savings: one long transaction must not close the gate for long.
         let limit = self.share * BURST.as_secs_f64() * 4.0;
         self.tokens = (self.tokens - cost_ms).max(-limit);
     }
@@ -176,19 +173,17 @@
 
     /// Lets time pass: observations fade, the open part follows the wait, the share is refilled.
     fn advance(&mut self, now: Time) {
-        let halves = now.since(self.waited_at).as_secs_f64() / WAIT_HALF_LIFE.as_secs_f64();
+        let passed = now.since(self.advanced_at).as_secs_f64();
+        self.advanced_at = now;
+
+        let halves = passed / WAIT_HALF_LIFE.as_secs_f64();
         self.wait_ms *= 0.5_f64.powf(halves.min(60.0));
-        self.waited_at = now;
 
-        let passed = now.since(self.opened_at).as_secs_f64();
-        self.opened_at = now;
         let over = (self.wait_ms.max(1.0) / WAIT_TARGET_MS).ln();
         let rate = if over > 0.0 { CORRECTION } else { RECOVERY };
         let step = over.clamp(-LONGEST_STEP, LONGEST_STEP) * rate * passed;
         self.open = (self.open * (-step).exp()).clamp(LEAST_OPEN, 1.0);
 
-        let refill = self.share * now.since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.tokens = (self.tokens + refill).min(self.share * BURST.as_secs_f64());
+        self.tokens = (self.tokens + self.share * passed).min(self.share * BURST.as_secs_f64());
     }
 }
--- a/crates/persimmon-place/src/greetings.rs
+++ b/crates/persimmon-place/src/greetings.rs
@@ -73,6 +73,12 @@
 }
 
 impl InUse {
+    /// Whether no connection is lent or being opened.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lent + self.opening == 0
+    }
+
     /// Whether one more may be opened to an instance that takes `cap` from all daemons.
     ///
     /// Where statements wait for slots, a second connection only makes the queue longer, and its
