Run a service's statements at a few daemons of each failure domain

Each daemon also judges the wait at an instance from a three-hundredth of its load.

Ruled out: larger idle times (the cap is shared by all daemons), grants of connections (one connection for some twenty daemons at the target size).

Change: where daemons outnumber half of an instance's connections, one daemon of each failure domain, chosen by weighted rendezvous hashing, holds the connections and runs the statements of the others, over tarpc on a port of its own. Transactions stay at the owner; a hop that may have reached it is never reported as not run; an owner that is silent, draining or gone is passed over by its two successors and then by direct connections. Members with failure domain and capacity are exchanged instead of bare addresses.

--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -25,6 +25,9 @@
 
 use crate::fault_proxy::FaultProxy;
 
+/// The port on which daemons listen for their peers.
+const PEER_PORT: u16 = 7_440;
+
 /// One instance with the fault-injecting proxy in front of it.
 #[derive(Debug)]
 pub struct ProxiedInstance {
@@ -138,12 +141,14 @@
         let seeds: Vec<String> = seeds.iter().map(|s| format!("{:?}", s.to_string())).collect();
         format!(
             "node = {name:?}\nip = \"{ip}\"\nzone = \"z1\"\nseeds = [{}]\n\
-             heartbeat_ms = 1200\n[listen]\nfront = \"{ip}:0\"\n\
+             heartbeat_ms = 1200\ninternal_port_range = [{first}, {last}]\n[listen]\nfront = \"{ip}:0\"\n\
              ready = \"{ip}:0\"\ncontrol = \"{peers}\"\n\
              metrics = \"{ip}:0\"\n[bounds]\n\
              drain_ms = 7000\ngrace_s = 6\n[platform]\naddress = \"{store}\"\n[cloud_api]\n\
              address = \"{store}\"\n",
             seeds.join(","),
+            first = PEER_PORT + 1,
+            last = PEER_PORT + 15,
             store = self.store_proxy.address,
         )
     }
@@ -173,8 +178,6 @@
 /// there.
 #[must_use]
 pub fn loopback_peer_addresses(count: u16) -> Vec<SocketAddr> {
-    /// The port on which daemons listen for their peers.
-    const PORT: u16 = 7_440;
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let pid = std::process::id();
     let first = NEXT.fetch_add(count, Ordering::Relaxed);
@@ -185,5 +188,5 @@
         // fakes.
         Ipv4Addr::new(127, process | 1, high.wrapping_add(pid.to_be_bytes()[2]), low)
     };
-    (first..first + count).map(|n| SocketAddr::from((host(n), PORT))).collect()
+    (first..first + count).map(|n| SocketAddr::from((host(n), PEER_PORT))).collect()
 }
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -12,6 +12,7 @@
 use futures::StreamExt;
 use futures::future::join_all;
 use persimmon_interfaces::{Instance, Table};
+use persimmon_ownership::Member;
 use persimmon_types::Clock;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tarpc::server::{BaseChannel, Channel};
@@ -24,10 +25,11 @@
 use crate::control::Control;
 use crate::peer_list::PeerList;
 use crate::peer_service::{
-    DaemonState, FRAME_LIMIT, PeerError, PeerService, SharedSample, connect,
+    DaemonState, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample, connect,
 };
 use crate::reachability::Reachability;
 use crate::sampling::LatestSamples;
+use crate::wire_member::{WireMember, WireMembers};
 
 /// How long a peer may take to answer.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -51,11 +53,14 @@
 /// Capacity of the queue of probes that peers requested.
 const PROBE_QUEUE: usize = 16;
 
-/// Number of rounds of [`FETCH_INTERVAL`] after the start in which peer lists are exchanged. Each
-/// peer names all that it knows, so a few exchanges discover most daemons.
-const INITIAL_EXCHANGES: u32 = 6;
+/// Number of exchanges of members after the start. Each peer names all that it knows, so a few
+/// exchanges discover most daemons.
+const INITIAL_EXCHANGES: u32 = 5;
 
-/// Rounds between two exchanges of peer lists after that.
+/// Interval between them, longer than the spread of the starts of a fleet.
+const INITIAL_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Rounds of [`FETCH_INTERVAL`] between two exchanges after that.
 const EXCHANGE_INTERVAL_ROUNDS: u32 = 30;
 
 /// State of this daemon that is served to peers, shared with the tasks that answer them.
@@ -96,18 +101,27 @@
 type ProbeRequest = (Arc<str>, oneshot::Sender<bool>);
 
 impl PeerService for PeerServer {
-    async fn know(self, _: context::Context, from: SocketAddr, table: u64) -> DaemonState {
+    async fn know(
+        self,
+        cx: context::Context,
+        from: WireMember,
+        table: u64,
+        members: u64,
+    ) -> DaemonState {
         let mut state = lock(&self.published.state).clone();
         state.table = state.table.filter(|t| t.version > table);
-        state.peers = self.peers.all();
-        self.peers.record_alive(from);
+        state.introduction = Some(self.meet(cx, from, members).await);
         state
     }
 
-    async fn meet(self, _: context::Context, from: SocketAddr) -> Vec<SocketAddr> {
-        let peers = self.peers.all();
-        self.peers.record_alive(from);
-        peers
+    async fn meet(self, _: context::Context, from: WireMember, members: u64) -> Introduction {
+        let is_same = self.peers.fingerprint() == members;
+        let known = if is_same { Vec::new() } else { self.peers.members() };
+        self.peers.record_alive(&Member::from(from));
+        Introduction {
+            own: WireMember::from(self.peers.own()),
+            members: WireMembers::from(known.as_slice()),
+        }
     }
 
     async fn sample(
@@ -195,7 +209,7 @@
     }
 }
 
-/// Exchanges peer lists, and fetches the state of peers while the store does not answer.
+/// Exchanges members, and fetches the state of peers while the store does not answer.
 pub(crate) async fn exchange_with_peers(control: Rc<Control>) {
     let mut rounds: u32 = 0;
     loop {
@@ -203,41 +217,48 @@
         if !is_reachable {
             fetch_from_peers(&control).await;
         }
-        if rounds < INITIAL_EXCHANGES || rounds.is_multiple_of(EXCHANGE_INTERVAL_ROUNDS) {
-            exchange_peer_lists(&control).await;
+        let is_starting = rounds < INITIAL_EXCHANGES;
+        if is_starting || rounds.is_multiple_of(EXCHANGE_INTERVAL_ROUNDS) {
+            exchange_members(&control, is_starting).await;
         }
         rounds = rounds.wrapping_add(1);
         if rounds == INITIAL_EXCHANGES {
             control.peers.mark_settled();
+            tracing::info!(daemons = control.peers.daemon_count(), "members were exchanged");
         }
-        tokio::time::sleep(FETCH_INTERVAL).await;
+        tokio::time::sleep(if is_starting { INITIAL_INTERVAL } else { FETCH_INTERVAL }).await;
     }
 }
 
-async fn exchange_peer_lists(control: &Control) {
-    let Some(peer) = control.peers.all().choose(&mut rand::rng()).copied() else {
+/// Exchanges members with one peer. While a daemon starts, seeds are preferred: all daemons contact
+/// them first, so they know most.
+async fn exchange_members(control: &Control, prefers_seed: bool) {
+    let mut rng = rand::rng();
+    let seed = control.peers.seeds().choose(&mut rng).copied().filter(|_| prefers_seed);
+    let Some(peer) = seed.or_else(|| control.peers.all().choose(&mut rng).copied()) else {
         return;
     };
+    let own = WireMember::from(control.peers.own());
     let call = async {
         let client = connect(&control.metrics, peer).await?;
-        Ok::<_, PeerError>(client.meet(context::current(), control.settings.peers).await?)
+        let members = control.peers.fingerprint();
+        Ok::<_, PeerError>(client.meet(context::current(), own, members).await?)
     };
     match tokio::time::timeout(PEER_CALL_TIMEOUT, call).await {
-        Ok(Ok(peers)) => {
-            control.peers.record_alive(peer);
-            control.peers.merge(&peers);
-        }
+        Ok(Ok(introduction)) => merge_introduction(control, introduction),
         Ok(Err(_)) | Err(_) => forget(control, peer),
     }
 }
 
-/// Removes a peer that does not answer. Seeds are kept, so that a daemon that has lost all its
-/// peers can start again from them.
+fn merge_introduction(control: &Control, introduction: Introduction) {
+    control.peers.record_alive(&Member::from(introduction.own));
+    control.peers.merge(&Vec::from(introduction.members));
+}
+
+/// Removes a peer that does not answer.
 fn forget(control: &Control, peer: SocketAddr) {
     tracing::debug!(%peer, "peer does not answer");
-    if !control.settings.seeds.contains(&peer) {
-        control.peers.forget(peer);
-    }
+    control.peers.forget(peer);
 }
 
 async fn fetch_from_peers(control: &Control) {
@@ -262,7 +283,9 @@
     let version = control.table.borrow().as_ref().map_or(0, |t| t.version);
     let call = async {
         let client = connect(&control.metrics, peer).await?;
-        Ok(client.know(context::current(), control.settings.peers, version).await?)
+        let own = WireMember::from(control.peers.own());
+        let members = control.peers.fingerprint();
+        Ok(client.know(context::current(), own, version, members).await?)
     };
     let answer = tokio::time::timeout(PEER_CALL_TIMEOUT, call).await;
     (peer, answer.unwrap_or(Err(PeerError::TimedOut)))
@@ -286,8 +309,9 @@
 }
 
 fn merge_state(control: &Control, peer: SocketAddr, state: DaemonState) {
-    control.peers.record_alive(peer);
-    control.peers.merge(&state.peers);
+    if let Some(introduction) = state.introduction {
+        merge_introduction(control, introduction);
+    }
     if let Some(table) = state.table {
         control.activate_table(table, "peer");
     }
--- a/crates/persimmon-proxy/src/drain.rs
+++ b/crates/persimmon-proxy/src/drain.rs
@@ -31,7 +31,8 @@
     stage.send_replace(ShutdownStage::ClosingIdle);
     loop {
         let passed = Clock.now().since(began);
-        if worker.sessions.get() == 0 && passed + FINAL_RESERVE >= limit / 2 {
+        let is_idle = worker.sessions.get() == 0 && worker.held.get() == 0;
+        if is_idle && passed + FINAL_RESERVE >= limit / 2 {
             break;
         }
         if passed + FINAL_RESERVE * 2 >= limit
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -19,6 +19,7 @@
 use crate::round_trip::InFlight;
 use crate::statement_job::{Execution, ExecutionMode, StatementJob};
 use crate::traffic::Worker;
+use crate::transaction::DirectTransaction;
 
 /// Minimum time before the statement's deadline to start an attempt; a later one cannot finish in
 /// time.
@@ -49,7 +50,7 @@
         loop {
             let selected = self.select_instance(job, &mut execution, &tried).await;
             let Some(instance) = selected else {
-                execution.failure = Some(AttemptFailure::NotSent);
+                execution.failure = Some(failure_text(&AttemptFailure::NotSent));
                 return execution.refused(ErrorCode::Busy);
             };
             if let Admission::RetryAfter(retry_after) = self.admit(job, &instance, &mut execution) {
@@ -57,7 +58,7 @@
                 if !execution.mode.needs_primary() {
                     continue;
                 }
-                execution.instance = Some(instance);
+                execution.instance = Some(Arc::clone(&instance.id));
                 execution.retry_after = retry_after;
                 if self.wait_for_admission(job, &mut execution).await {
                     tried.clear();
@@ -67,7 +68,8 @@
                 return execution.refused(ErrorCode::Busy);
             }
             execution.attempts += 1;
-            execution.instance = Some(Arc::clone(&instance));
+            execution.instance = Some(Arc::clone(&instance.id));
+            let requested_at = Clock.now();
             let failure = match self.attempt(job, &mut execution, &instance).await {
                 Ok((connection, answer)) => match answer.code() {
                     Some(code) if code.is_not_run() => {
@@ -75,9 +77,16 @@
                         AttemptFailure::Answered(code.clone())
                     }
                     _ => {
-                        let is_open = answer.status != TxStatus::Idle;
+                        if execution.mode == ExecutionMode::Write && answer.result.is_ok() {
+                            let service = &job.route.service;
+                            execution.commit_position =
+                                self.covering_position(service, answer.position, requested_at);
+                        }
+                        if answer.status != TxStatus::Idle {
+                            let transaction = DirectTransaction::new(self, connection);
+                            execution.transaction = Some(Box::new(transaction));
+                        }
                         execution.result = Ok(answer);
-                        execution.connection = is_open.then_some(connection);
                         return execution;
                     }
                 },
@@ -91,7 +100,7 @@
             let has_time = may_wait_longer && Clock.now() + MIN_ATTEMPT_TIME < job.deadline;
             let next = after_failure(execution.mode.attempt_kind(), &failure, has_time);
             execution.was_lost |= failure == AttemptFailure::Lost;
-            execution.failure = Some(failure);
+            execution.failure = Some(failure_text(&failure));
             match next {
                 RetryDecision::Refuse(code) => return execution.refused(code),
                 RetryDecision::FindPrimary => {
@@ -121,7 +130,8 @@
         execution: &mut Execution,
     ) -> Admission {
         let draw = rand::rng().random_range(0.0..1.0);
-        let daemons = self.peers.daemon_count();
+        let service = &job.route.service;
+        let daemons = self.peers.sharer_count(service, self.max_connections(service));
         let baseline_ms = self.latency_baseline(job).ms();
         self.pool.admission(&instance.id, |controller| {
             controller.set_share(instance.slots, daemons);
@@ -248,6 +258,11 @@
     }
 }
 
+/// The text of a failure in log lines.
+fn failure_text(failure: &AttemptFailure) -> Arc<str> {
+    Arc::from(format!("{failure:?}"))
+}
+
 async fn pause(attempts: u32, deadline: Time) {
     let longest = INITIAL_RETRY_DELAY * 2_u32.saturating_pow(attempts.min(6));
     let pause = longest.min(MAX_RETRY_DELAY).mul_f64(rand::rng().random_range(0.5..1.0));
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod drain;
 mod execute;
+mod forwarding;
 mod http;
 mod logging;
 mod metrics;
@@ -33,6 +34,8 @@
 mod socket;
 mod statement_job;
 mod traffic;
+mod transaction;
+mod wire_member;
 
 pub use adapter::{Adapter, PlatformClients};
 pub use directory::Directory;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -74,6 +74,10 @@
     statements_in_doubt,
     /// Reads, writes and commits that an instance ran and that failed.
     statements_failed,
+    /// Reads, writes and commits forwarded to the owner of their service.
+    statements_forwarded,
+    /// Reads, writes and commits run for other daemons.
+    statements_for_peers,
     /// Reads served by a replica.
     replica_reads,
     /// Reads served by the primary although a replica was allowed.
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -1,65 +1,69 @@
-//! The known peer daemons.
+//! The known peer daemons, and the owners of services among them.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use persimmon_types::rendezvous_weight;
+use persimmon_ownership::{Member, MemberList, OwnerTable, ServiceOwners, needs_owners};
+use persimmon_types::Clock;
 
-/// Maximum number of peers kept; beyond that, the ones seen longest ago are removed.
-const MAX_PEERS: usize = 512;
+#[derive(Debug, Default)]
+struct Peers {
+    members: MemberList,
+    owners: OwnerTable,
+}
 
-/// Peers by address, the most recently seen last.
+/// The peers, shared by the threads of a daemon.
 #[derive(Debug)]
 pub struct PeerList {
-    own_address: SocketAddr,
-    known: Mutex<Vec<SocketAddr>>,
+    own: Member,
+    seeds: Vec<SocketAddr>,
+    peers: Mutex<Peers>,
     /// Whether enough peer lists were exchanged to estimate the number of daemons.
     is_settled: AtomicBool,
 }
 
 impl PeerList {
-    /// Creates the list of a daemon that knows only the seeds.
+    /// Creates the list of a daemon that knows only the seeds' addresses.
     #[must_use]
-    pub fn new(own_address: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let list =
-            Self { own_address, known: Mutex::default(), is_settled: AtomicBool::new(false) };
-        for seed in seeds {
-            list.record_alive(*seed);
-        }
-        list
+    pub fn new(own: Member, seeds: &[SocketAddr]) -> Self {
+        let seeds = seeds.iter().copied().filter(|seed| *seed != own.address).collect();
+        Self { own, seeds, peers: Mutex::default(), is_settled: AtomicBool::new(false) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This daemon.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.own
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The seeds other than this daemon.
+    #[must_use]
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
     }
 
     /// Records that a peer is alive.
-    pub fn record_alive(&self, peer: SocketAddr) {
-        if peer == self.own_address {
-            return;
-        }
-        let mut known = self.lock();
-        known.retain(|p| *p != peer);
-        known.push(peer);
-        if known.len() > MAX_PEERS {
-            known.remove(0);
+    pub fn record_alive(&self, peer: &Member) {
+        if peer.address != self.own.address {
+            self.lock().members.record_alive(peer);
         }
     }
 
     /// Merges the peers that another daemon knows.
-    pub fn merge(&self, peers: &[SocketAddr]) {
-        let mut known = self.lock();
-        for peer in peers {
-            if *peer != self.own_address && !known.contains(peer) && known.len() < MAX_PEERS {
-                known.insert(0, *peer);
-            }
-        }
+    pub fn merge(&self, peers: &[Member]) {
+        let others: Vec<Member> =
+            peers.iter().filter(|p| p.address != self.own.address).cloned().collect();
+        self.lock().members.merge(Clock.now(), &others);
     }
 
-    /// Removes a peer that does not answer.
+    /// Removes a peer that does not answer. A seed's address stays known.
     pub fn forget(&self, peer: SocketAddr) {
-        self.lock().retain(|p| *p != peer);
+        self.lock().members.remove(Clock.now(), peer);
     }
 
     /// Records that enough peer lists were exchanged.
@@ -67,30 +71,70 @@
         self.is_settled.store(true, Ordering::Relaxed);
     }
 
-    /// Number of daemons that share limited resources, including this one. `None` until it is
-    /// known: a daemon that has just started knows only the seeds, and all may have started
-    /// together.
+    /// Number of daemons, including this one. `None` until it is known: a daemon that has just
+    /// started knows only the seeds, and all may have started together.
     #[must_use]
     pub fn daemon_count(&self) -> Option<usize> {
-        self.is_settled.load(Ordering::Relaxed).then(|| self.lock().len() + 1)
+        self.is_settled.load(Ordering::Relaxed).then(|| self.lock().members.len() + 1)
+    }
+
+    /// Number of daemons that share the connections of a service's instances; `None` until it is
+    /// known.
+    #[must_use]
+    pub fn sharer_count(&self, service: &Arc<str>, max_connections: u32) -> Option<usize> {
+        let daemons = self.daemon_count()?;
+        if !needs_owners(max_connections, daemons) {
+            return Some(daemons);
+        }
+        Some(self.owners(service).count())
     }
 
-    /// All known peers.
+    /// Addresses of all known peers.
     #[must_use]
     pub fn all(&self) -> Vec<SocketAddr> {
-        self.lock().clone()
+        let mut all: Vec<SocketAddr> = self.lock().members.iter().map(|m| m.address).collect();
+        let unknown: Vec<SocketAddr> =
+            self.seeds.iter().copied().filter(|seed| !all.contains(seed)).collect();
+        all.extend(unknown);
+        all
     }
 
-    /// The `count` daemons that sample a service's primary for others, in rendezvous order. Daemons
-    /// with nearly the same peer lists compute nearly the same result.
+    /// All known members, including this daemon.
     #[must_use]
-    pub fn samplers(&self, service: &Arc<str>, count: usize) -> Vec<SocketAddr> {
-        let mut all = self.all();
-        all.push(self.own_address);
-        all.sort_by_cached_key(|peer| {
-            std::cmp::Reverse(rendezvous_weight(service, &peer.to_string()))
-        });
-        all.truncate(count);
+    pub fn members(&self) -> Vec<Member> {
+        let mut all: Vec<Member> = self.lock().members.iter().cloned().collect();
+        all.push(self.own.clone());
         all
     }
+
+    /// A hash of all known members, including this daemon.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        self.lock().members.fingerprint(self.own.address)
+    }
+
+    fn with_owners<T>(&self, f: impl FnOnce(&mut OwnerTable) -> T) -> T {
+        let mut peers = self.lock();
+        let Peers { members, owners } = &mut *peers;
+        let version = members.version();
+        if owners.is_outdated(version) {
+            let mut all: Vec<Member> = members.iter().cloned().collect();
+            all.push(self.own.clone());
+            owners.set_members(version, all);
+        }
+        f(owners)
+    }
+
+    /// The owners of a service.
+    #[must_use]
+    pub fn owners(&self, service: &Arc<str>) -> Arc<ServiceOwners> {
+        self.with_owners(|owners| owners.owners(service))
+    }
+
+    /// The `count` daemons that come first for `key`, in rendezvous order. Daemons with nearly the
+    /// same peers compute nearly the same result.
+    #[must_use]
+    pub fn top(&self, key: &str, count: usize) -> Vec<SocketAddr> {
+        self.with_owners(|owners| owners.top(key, count))
+    }
 }
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 
 use crate::metrics::Metrics;
+use crate::wire_member::{WireMember, WireMembers};
 
 /// Maximum message size in bytes, enough for a table of some thousand routes.
 pub(crate) const FRAME_LIMIT: usize = 8 << 20;
@@ -22,11 +23,20 @@
     pub(crate) table: Option<Table>,
     /// The instances with the revisions of their entries.
     pub(crate) instances: Vec<(u64, Instance)>,
-    pub(crate) peers: Vec<SocketAddr>,
+    /// The daemon itself and the peers that it knows; absent before it is sent.
+    pub(crate) introduction: Option<Introduction>,
     /// Whether the store answered the daemon's latest call to it.
     pub(crate) is_current: bool,
 }
 
+/// A daemon, and the members that it knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Introduction {
+    pub(crate) own: WireMember,
+    /// All known members; empty if the caller knows the same ones.
+    pub(crate) members: WireMembers,
+}
+
 /// A sample of a primary's position, with its age at the daemon that took it.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct SharedSample {
@@ -39,11 +49,12 @@
 #[tarpc::service]
 pub(crate) trait PeerService {
     /// Returns the table if it is newer than the version `table`, the directory, and the known
-    /// peers.
-    async fn know(from: SocketAddr, table: u64) -> DaemonState;
+    /// peers; `members` is the fingerprint of the peers that the caller knows.
+    async fn know(from: WireMember, table: u64, members: u64) -> DaemonState;
 
-    /// Returns the known peers.
-    async fn meet(from: SocketAddr) -> Vec<SocketAddr>;
+    /// Returns this daemon and the known peers; `members` is the fingerprint of those that the
+    /// caller knows.
+    async fn meet(from: WireMember, members: u64) -> Introduction;
 
     /// Returns whether an instance answers this daemon; `None` if that cannot be determined.
     async fn reaches(instance: Arc<str>) -> Option<bool>;
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -214,10 +214,12 @@
     }
 
     /// Counts a connection as being opened, if the limits allow one; returns whether they do.
-    fn try_reserve_open(&self, instance: &Instance, now: Time, max_connections: usize) -> bool {
+    fn try_reserve_open(&self, instance: &Instance, now: Time, max_connections: u32) -> bool {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        entry.idle_policy.set_share(max_connections, self.peers.daemon_count());
+        let sharers = self.peers.sharer_count(&instance.service, max_connections);
+        let max_connections = max_connections as usize;
+        entry.idle_policy.set_share(max_connections, sharers);
         let may_open = entry.counts.may_open(max_connections, entry.admission.is_throttling())
             && now >= entry.refused_until;
         if may_open {
@@ -253,7 +255,7 @@
             if now >= deadline {
                 return Err(Unavailable::Waited);
             }
-            if self.try_reserve_open(instance, now, max_connections as usize) {
+            if self.try_reserve_open(instance, now, max_connections) {
                 let (pool, instance) = (Rc::clone(self), Arc::clone(instance));
                 ntex::rt::spawn(async move { pool.open(&instance).await });
             }
@@ -360,7 +362,8 @@
     fn needs_prewarming(&self, instance: &Instance, max_connections: u32, now: Time) -> bool {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        entry.idle_policy.set_share(max_connections as usize, self.peers.daemon_count());
+        let sharers = self.peers.sharer_count(&instance.service, max_connections);
+        entry.idle_policy.set_share(max_connections as usize, sharers);
         let has_none = entry.idle.is_empty() && entry.counts.is_empty();
         has_none && entry.idle_policy.max_idle(now) > 0 && !entry.load.is_avoided(now)
     }
--- a/crates/persimmon-proxy/src/primaries.rs
+++ b/crates/persimmon-proxy/src/primaries.rs
@@ -72,6 +72,17 @@
         is_covering
     }
 
+    /// The position that the primary reported for a commit, if it bounds reads: every read at or
+    /// above it sees the commit.
+    pub(crate) fn covering_position(
+        &self,
+        service: &Arc<str>,
+        position: Option<Position>,
+        requested_at: Time,
+    ) -> Option<Position> {
+        position.filter(|_| self.add_sample(service, position, requested_at))
+    }
+
     /// Records a position sample that a peer took and validated.
     pub(crate) fn add_peer_sample(&self, service: &Arc<str>, sample: PositionSample) {
         self.primary_state(service, |state| state.samples.add_verified(sample));
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 
 use ntex::rt::{DefaultRuntime, System};
+use persimmon_ownership::Member;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::adapter::{Adapter, Reload};
 use crate::control;
 use crate::drain::drain;
+use crate::forwarding;
 use crate::http::{self, HttpState};
 use crate::logging::{DEFAULT_FILTER, start_logging};
 use crate::metrics::Metrics;
@@ -42,6 +44,7 @@
     settings.clients = client_listener.local_addr()?;
     settings.readiness = readiness_listener.local_addr()?;
     settings.peers = peer_listener.local_addr()?;
+    let forwarding_listener = settings.forwarding.map(TcpListener::bind).transpose()?;
     let metrics_listener = TcpListener::bind(settings.metrics)
         .inspect_err(|err| {
             tracing::warn!(address = %settings.metrics, error = %err,
@@ -57,7 +60,12 @@
 
     let metrics = Arc::new(Metrics::default());
     let reachability = Arc::new(Reachability::default());
-    let peers = Arc::new(PeerList::new(settings.peers, &settings.seeds));
+    let own = Member {
+        address: settings.peers,
+        domain: Arc::clone(&settings.failure_domain),
+        capacity: settings.capacity,
+    };
+    let peers = Arc::new(PeerList::new(own, &settings.seeds));
     let (sample_requests_tx, sample_requests) = mpsc::channel(SAMPLE_REQUEST_QUEUE);
     let samples = Arc::new(LatestSamples::new(sample_requests_tx));
     let settings = Arc::new(settings);
@@ -98,6 +106,9 @@
             metrics_listener,
         )?;
         traffic::serve(&worker, client_listener, sample_requests)?;
+        if let Some(listener) = forwarding_listener {
+            forwarding::serve(&worker, listener)?;
+        }
         wait_for_stop_signal(&adapter.reload).await?;
         drain(&worker, &stage_tx).await;
         Ok(())
--- a/crates/persimmon-proxy/src/sampling.rs
+++ b/crates/persimmon-proxy/src/sampling.rs
@@ -84,7 +84,7 @@
     /// Requests a sample from a daemon that samples the service for others; returns whether it got
     /// one.
     pub(crate) async fn request_peer_sample(&self, service: &Arc<str>, max_age: Duration) -> bool {
-        let samplers = self.peers.samplers(service, SAMPLERS);
+        let samplers = self.peers.top(service, SAMPLERS);
         if samplers.contains(&self.settings.peers) {
             return false;
         }
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -24,9 +24,9 @@
 
 use crate::connection::{Answer, Shape};
 use crate::metrics::Metrics;
-use crate::pool::PooledConnection;
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
+use crate::transaction::OpenTransaction;
 
 /// How long a client may take to send its startup message.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -60,7 +60,7 @@
     },
     /// Open on an instance.
     Open {
-        connection: PooledConnection,
+        transaction: Box<dyn OpenTransaction>,
         route: Arc<Route>,
         has_written: bool,
         idle_since: Time,
@@ -228,8 +228,8 @@
 
     fn end_idle_transaction(&mut self) {
         Metrics::increment(&self.worker.metrics.transactions_idle);
-        if let Tx::Open { connection, has_written, .. } = &self.tx {
-            tracing::info!(database = %self.database, instance = %connection.instance.id,
+        if let Tx::Open { transaction, has_written, .. } = &self.tx {
+            tracing::info!(database = %self.database, instance = %transaction.instance(),
                 has_written, "transaction exceeded its idle limit and is rolled back");
         }
         self.rollback_detached();
@@ -238,11 +238,9 @@
 
     /// Rolls back the open transaction in a background task.
     fn rollback_detached(&mut self) {
-        let Tx::Open { mut connection, .. } = std::mem::replace(&mut self.tx, Tx::None) else {
-            return;
-        };
-        let worker = Rc::clone(&self.worker);
-        ntex::rt::spawn(async move { worker.rollback(&mut connection).await });
+        if let Tx::Open { transaction, .. } = std::mem::replace(&mut self.tx, Tx::None) {
+            transaction.rollback();
+        }
     }
 
     fn status(&self) -> TxStatus {
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -4,21 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_balancing::{AttemptFailure, AttemptKind, RetryDecision, after_failure};
+use persimmon_balancing::{AttemptKind, RetryDecision, after_failure};
 use persimmon_interfaces::{Access, ErrorCode, Freshness, Query, Route, Statement, TxStatus};
 use persimmon_types::{Clock, Position, Time};
 
-use crate::connection::{Answer, DesiredState, Shape};
+use crate::connection::{Answer, Shape};
 use crate::metrics::Metrics;
-use crate::pool::PooledConnection;
-use crate::round_trip::InFlight;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::{
     Execution, ExecutionMode, RETRY_AFTER, StatementJob, access, autocommit_mode,
 };
-
-/// Pause before a statement in a transaction is sent again to a busy instance.
-const RETRY_DELAY: Duration = Duration::from_millis(12);
+use crate::transaction::OpenTransaction;
 
 impl Session {
     pub(super) async fn run_statement(&mut self, query: &Query, shape: Option<&Shape>) -> bool {
@@ -46,24 +42,30 @@
             }
         };
         let job = self.new_job(query, shape, &route, fresh_as_of, arrival);
-        let execution = worker.execute(&job, mode).await;
+        let execution = worker.run(&job, mode).await;
         self.record_statement(query, &route, access, arrival, &execution);
         let has_begun = matches!(self.tx, Tx::Begun { .. });
-        let Execution { result, connection, mode, retry_after, .. } = execution;
+        let Execution { result, transaction, mode, retry_after, commit_position, .. } = execution;
         match result {
             Ok(answer) => {
                 if mode == ExecutionMode::Write && answer.result.is_ok() {
-                    self.record_commit(&route, answer.position, arrival);
+                    self.record_commit(commit_position);
                 }
                 if has_begun {
-                    self.tx = self.transaction_after_first(
-                        connection,
-                        route,
-                        access,
-                        fresh_as_of,
-                        is_commit,
-                        &answer,
-                    );
+                    self.tx = match transaction {
+                        Some(transaction) => {
+                            let has_written = access == Access::Write;
+                            Self::transaction_after_first(
+                                transaction,
+                                route,
+                                has_written,
+                                fresh_as_of,
+                                &answer,
+                            )
+                        }
+                        None if is_commit => Tx::None,
+                        None => Tx::Failed,
+                    };
                 }
                 self.send_answer(answer);
             }
@@ -79,31 +81,23 @@
 
     /// The transaction state after its first statement was answered.
     fn transaction_after_first(
-        &mut self,
-        connection: Option<PooledConnection>,
+        transaction: Box<dyn OpenTransaction>,
         route: Arc<Route>,
-        access: Access,
+        has_written: bool,
         began: Time,
-        is_commit: bool,
         answer: &Answer,
     ) -> Tx {
-        let Some(mut connection) = connection else {
-            return if is_commit { Tx::None } else { Tx::Failed };
-        };
-        connection.pin();
-        let has_written = access == Access::Write;
-        let tx = Tx::Open { connection, route, has_written, idle_since: Clock.now(), began };
         if answer.status == TxStatus::Open {
-            return tx;
+            return Tx::Open { transaction, route, has_written, idle_since: Clock.now(), began };
         }
-        self.tx = tx;
-        self.rollback_detached();
+        transaction.rollback();
         Tx::Failed
     }
 
-    /// Records that a commit of this session was acknowledged.
-    fn record_commit(&mut self, route: &Route, position: Option<Position>, requested_at: Time) {
-        if self.worker.add_sample(&route.service, position, requested_at) {
+    /// Records that a commit of this session was acknowledged; `position` is one from which on
+    /// reads see it, if one is known.
+    fn record_commit(&mut self, position: Option<Position>) {
+        if position.is_some() {
             self.last_commit_position = self.last_commit_position.max(position);
         } else {
             // Only position samples taken from now on cover the commit.
@@ -139,7 +133,7 @@
         shape: Option<&Shape>,
         arrival: Time,
     ) -> bool {
-        let Tx::Open { mut connection, route, has_written, began, .. } =
+        let Tx::Open { mut transaction, route, has_written, began, .. } =
             std::mem::replace(&mut self.tx, Tx::Failed)
         else {
             return true;
@@ -152,34 +146,14 @@
             (true, false) => AttemptKind::ReadOnlyCommit,
             _ => AttemptKind::LaterInTransaction,
         };
-        let mut attempts = 0;
-        let ended = loop {
-            attempts += 1;
-            match self.execute_in_transaction(&mut connection, &job).await {
-                Ok(answer) => {
-                    let is_busy = answer.code() == Some(&ErrorCode::Busy);
-                    let is_open = answer.status == TxStatus::Open;
-                    if is_busy && is_open && Clock.now() + RETRY_DELAY * 2 < job.deadline {
-                        Metrics::increment(&self.worker.metrics.retries);
-                        tokio::time::sleep(RETRY_DELAY).await;
-                        continue;
-                    }
-                    match answer.code().filter(|c| c.is_not_run()) {
-                        None => break Ok(answer),
-                        Some(code) => break Err(AttemptFailure::Answered(code.clone())),
-                    }
-                }
-                Err(failure) => break Err(failure),
-            }
-        };
+        let step = transaction.execute(&job, has_written).await;
         let mut execution = Execution::new(ExecutionMode::PrimaryTransaction);
-        execution.instance = Some(Arc::clone(&connection.instance));
-        execution.attempts = attempts;
-        match ended {
+        execution.instance = Some(Arc::clone(transaction.instance()));
+        execution.attempts = step.attempts;
+        match step.result {
             Ok(answer) => {
-                let was_committed = is_commit && answer.result.is_ok();
-                if was_committed && has_written {
-                    self.record_commit(&route, answer.position, arrival);
+                if is_commit && has_written && answer.result.is_ok() {
+                    self.record_commit(step.commit_position);
                 }
                 let status = answer.status;
                 execution.result = Ok(answer);
@@ -187,14 +161,14 @@
                 let has_written = has_written || access == Access::Write;
                 self.tx = match status {
                     TxStatus::Idle => Tx::None,
-                    TxStatus::Open | TxStatus::Failed => {
-                        Tx::Open { connection, route, has_written, idle_since: Clock.now(), began }
+                    TxStatus::Open => {
+                        Tx::Open { transaction, route, has_written, idle_since: Clock.now(), began }
+                    }
+                    TxStatus::Failed => {
+                        transaction.rollback();
+                        Tx::Failed
                     }
                 };
-                if status == TxStatus::Failed {
-                    self.rollback_detached();
-                    self.tx = Tx::Failed;
-                }
                 if let Ok(answer) = execution.result {
                     self.send_answer(answer);
                 }
@@ -206,21 +180,10 @@
                     | RetryDecision::FindPrimary
                     | RetryDecision::ReturnToClient => ErrorCode::Aborted,
                 };
-                if failure == AttemptFailure::Answered(ErrorCode::ReadOnly) {
-                    let service = &route.service;
-                    self.worker.record_not_primary(
-                        service,
-                        &connection.instance.id,
-                        "the instance lost the primary role",
-                    );
-                }
                 execution.result = Err(code.clone());
-                execution.failure = Some(failure);
+                execution.failure = Some(Arc::from(format!("{failure:?}")));
                 self.record_statement(query, &route, access, arrival, &execution);
-                let worker = Rc::clone(&self.worker);
-                if connection.backend().has_transaction {
-                    ntex::rt::spawn(async move { worker.rollback(&mut connection).await });
-                }
+                transaction.rollback();
                 self.tx = if is_commit { Tx::None } else { Tx::Failed };
                 self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
             }
@@ -228,24 +191,6 @@
         true
     }
 
-    async fn execute_in_transaction(
-        &self,
-        connection: &mut PooledConnection,
-        job: &StatementJob<'_>,
-    ) -> Result<Answer, AttemptFailure> {
-        let id = Arc::clone(&connection.instance.id);
-        let _in_flight = InFlight::new(&self.worker, &id);
-        let desired =
-            DesiredState { variables: Some(&self.variables), shape: job.shape, begin: None };
-        let limit = job.deadline.since(Clock.now()).max(Duration::from_millis(1));
-        // Variables set since the transaction was opened apply from this statement on.
-        if let Err(err) = connection.backend().apply_state(&desired, limit).await {
-            self.worker.record_connection_error(&Arc::clone(&connection.instance), &err);
-            return Err(AttemptFailure::NotSent);
-        }
-        self.worker.forward(connection, job, None, false, limit).await
-    }
-
     /// Counts and logs the outcome of a statement.
     fn record_statement(
         &self,
@@ -270,8 +215,7 @@
         let is_read = access == Access::Read && query.statement != Statement::Commit;
         if is_read && route.freshness != Freshness::Latest && outcome == "served" {
             let primary = self.worker.believed_primary(&route.service);
-            let at = execution.instance.as_ref().map(|i| &i.id);
-            let is_primary = primary.as_ref().map(|p| &p.id) == at;
+            let is_primary = primary.as_ref().map(|p| &p.id) == execution.instance.as_ref();
             let reads = if is_primary { &metrics.primary_reads } else { &metrics.replica_reads };
             Metrics::increment(reads);
         }
@@ -283,13 +227,14 @@
             Ok(answer) => answer.code().cloned(),
             Err(code) => Some(code.clone()),
         };
-        let instance = execution.instance.as_ref().map_or("none", |i| &*i.id);
+        let instance = execution.instance.as_deref().unwrap_or("none");
+        let owner = execution.owner.map(|o| o.to_string());
         let after = execution.after.map(|p| p.to_string());
         let table = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
         tracing::info!(
             id = %query.id, database = %route.database, service = %route.service, instance,
             mode = ?execution.mode, attempts = execution.attempts, after, table,
-            failure = execution.failure.as_ref().map(|f| format!("{f:?}")),
+            owner, failure = execution.failure.as_deref(),
             code = code.map(|c| format!("{c:?}")),
             ms = whole_ms(took), floor_ms = whole_ms(execution.min_position_wait),
             connection_ms = whole_ms(execution.connection_wait),
--- a/crates/persimmon-proxy/src/settings.rs
+++ b/crates/persimmon-proxy/src/settings.rs
@@ -17,6 +17,11 @@
     pub readiness: SocketAddr,
     /// Listen address for other daemons.
     pub peers: SocketAddr,
+    /// Listen address for statements that other daemons forward, on the same port on every host;
+    /// `None` if this daemon neither forwards statements nor runs those of others.
+    pub forwarding: Option<SocketAddr>,
+    /// Processor capacity of the host, in thousandths of a core.
+    pub capacity: u32,
     /// Listen address of the metrics endpoint.
     pub metrics: SocketAddr,
     /// Addresses of the peers to contact first; they may be outdated.
--- a/crates/persimmon-proxy/src/socket.rs
+++ b/crates/persimmon-proxy/src/socket.rs
@@ -43,7 +43,17 @@
 ///
 /// Returns an error if the socket refuses an option.
 pub(crate) fn configure(stream: TcpStream, has_keepalive: bool) -> io::Result<Io> {
-    let socket = SockRef::from(&stream);
+    set_options(&stream, has_keepalive)?;
+    ntex::rt::from_tcp_stream(stream.into_std()?, SharedCfg::default())
+}
+
+/// Sets the options by which a silent peer is detected; `has_keepalive` enables keepalive probes.
+///
+/// # Errors
+///
+/// Returns an error if the socket refuses an option.
+pub(crate) fn set_options(stream: &TcpStream, has_keepalive: bool) -> io::Result<()> {
+    let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     if has_keepalive {
@@ -53,5 +63,5 @@
             .with_retries(KEEPALIVE_RETRIES);
         socket.set_tcp_keepalive(&keepalive)?;
     }
-    ntex::rt::from_tcp_stream(stream.into_std()?, SharedCfg::default())
+    Ok(())
 }
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -1,15 +1,16 @@
 //! A statement to execute, and its outcome.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_balancing::{AttemptFailure, AttemptKind, final_error_code};
-use persimmon_interfaces::{Access, ErrorCode, Instance, Query, Route, Statement};
+use persimmon_balancing::{AttemptKind, final_error_code};
+use persimmon_interfaces::{Access, ErrorCode, Query, Route, Statement};
 use persimmon_types::{Position, Time};
 
 use crate::connection::{Answer, Shape};
-use crate::pool::PooledConnection;
+use crate::transaction::OpenTransaction;
 
 /// Default delay after which a client may retry a statement that was not run.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -34,6 +35,10 @@
         matches!(self, Self::Guarded | Self::Write | Self::PrimaryTransaction)
     }
 
+    pub(crate) fn opens_transaction(self) -> bool {
+        matches!(self, Self::CopyTransaction | Self::PrimaryTransaction)
+    }
+
     pub(crate) fn on_primary(self) -> Self {
         match self {
             Self::Copy => Self::Guarded,
@@ -80,14 +85,17 @@
 }
 
 /// Outcome of a statement, with the details that its log line reports.
-#[derive(Debug)]
 pub(crate) struct Execution {
     /// The instance's answer, or the code with which the proxy refuses the statement.
     pub(crate) result: Result<Answer, ErrorCode>,
-    /// The connection, if a transaction is open on it.
-    pub(crate) connection: Option<PooledConnection>,
-    /// The instance of the last attempt.
-    pub(crate) instance: Option<Arc<Instance>>,
+    /// The transaction, if one is open.
+    pub(crate) transaction: Option<Box<dyn OpenTransaction>>,
+    /// The daemon to which the statement was forwarded.
+    pub(crate) owner: Option<SocketAddr>,
+    /// Identity of the instance of the last attempt.
+    pub(crate) instance: Option<Arc<str>>,
+    /// For a write outside a transaction, a position from which on reads see it, if one is known.
+    pub(crate) commit_position: Option<Position>,
     /// The mode of the last attempt.
     pub(crate) mode: ExecutionMode,
     /// Number of attempts.
@@ -95,7 +103,7 @@
     /// The minimum position that the instance had to have applied.
     pub(crate) after: Option<Position>,
     /// The last failure.
-    pub(crate) failure: Option<AttemptFailure>,
+    pub(crate) failure: Option<Arc<str>>,
     /// Average wait of recent statements at the instance to which admission control did not admit
     /// this one, in milliseconds.
     pub(crate) congestion_ms: Option<f64>,
@@ -116,8 +124,10 @@
     pub(crate) fn new(mode: ExecutionMode) -> Self {
         Self {
             result: Err(ErrorCode::Busy),
-            connection: None,
+            transaction: None,
+            owner: None,
             instance: None,
+            commit_position: None,
             mode,
             attempts: 0,
             after: None,
@@ -136,6 +146,13 @@
         self.result = Err(final_error_code(code, self.was_lost));
         self
     }
+
+    /// The outcome after an earlier attempt that was sent and got no answer.
+    pub(crate) fn after_lost_attempt(mut self) -> Self {
+        self.was_lost = true;
+        self.result = self.result.map_err(|code| final_error_code(code, true));
+        self
+    }
 }
 
 /// The mode of a statement outside a transaction.
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::forwarding::{HeldCount, Links};
 use crate::logging::LogBudget;
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
@@ -75,6 +76,10 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) samplers: SamplerClients,
+    /// Connections to the owners of services.
+    pub(crate) links: Links,
+    /// What this daemon holds for others.
+    pub(crate) held: HeldCount,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
 }
@@ -105,6 +110,8 @@
             peers: parts.peers,
             samples: parts.samples,
             samplers: SamplerClients::default(),
+            links: Links::new(Arc::clone(&parts.metrics)),
+            held: HeldCount::default(),
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
             client_protocol: parts.client_protocol,
@@ -206,7 +213,7 @@
     loop {
         let snapshot = worker.snapshot();
         for listed in snapshot.services.values().flatten() {
-            if !listed.accepts_work() {
+            if !listed.accepts_work() || !worker.is_sharer(&listed.instance.service) {
                 continue;
             }
             let max_connections = worker.max_connections(&listed.instance.service);
