--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -48,6 +48,8 @@
     pub store_proxy: FaultProxy,
     /// The groups, each with its instances.
     pub groups: Vec<(Arc<Group>, Vec<ProxiedInstance>)>,
+    /// The connection limit of an instance that the table names.
+    max_connections: usize,
 }
 
 impl LineCluster {
@@ -77,12 +79,22 @@
             }
             started.push((group, instances));
         }
-        let cluster = Self { store, store_proxy, groups: started };
+        let max_connections = InstanceProfile::default().max_connections;
+        let cluster = Self { store, store_proxy, groups: started, max_connections };
         cluster.publish_instances(false);
         cluster.put_table(1, &[]);
         Ok(cluster)
     }
 
+    /// Sets the connection limit of an instance that the table names; daemons that outnumber it
+    /// run their statements through the owners of a service.
+    #[must_use]
+    pub fn with_max_connections(mut self, max_connections: usize) -> Self {
+        self.max_connections = max_connections;
+        self.put_table(2, &[]);
+        self
+    }
+
     /// Writes every instance's current entry to the store and removes those of stopped instances.
     ///
     /// With `first_is_draining`, the first instance of each group is entered as draining.
@@ -121,7 +133,9 @@
             for (prefix, route_type) in route_types {
                 routes.push(route_json(&format!("{prefix}{number}"), route_type, &group.name));
             }
-            services.push(json!({"name": group.name, "max_conns": 60, "sync_replicas": 0}));
+            services.push(json!({
+                "name": group.name, "max_conns": self.max_connections, "sync_replicas": 0,
+            }));
         }
         for database in extra_databases {
             routes.push(route_json(database, "primary", "svc0"));
--- a/crates/persimmon-ownership/src/lib.rs
+++ b/crates/persimmon-ownership/src/lib.rs
@@ -1,5 +1,5 @@
-//! Decides which daemons hold the connections to a service's instances, and by which path a
-//! statement reaches them. No I/O.
+//! Decides which daemons hold the connections to a service's instances, by which path a statement
+//! reaches them, and which daemons watch the store for the others. No I/O.
 //!
 //! Handles fleets in which daemons outnumber the connections that an instance accepts. If every
 //! daemon connects to every instance, nearly each statement opens a connection, and each daemon
@@ -16,8 +16,10 @@
 mod link_health;
 mod member;
 mod owners;
+mod watch_source;
 
 pub use forwarding::{HopFailure, Path, after_hop, choose_path};
 pub use link_health::LinkHealth;
 pub use member::{Member, MemberList};
 pub use owners::{OwnerTable, ServiceOwners, needs_owners};
+pub use watch_source::{SourceChooser, WatchSource, WatcherFailure};
--- a/crates/persimmon-ownership/src/owners.rs
+++ b/crates/persimmon-ownership/src/owners.rs
@@ -44,6 +44,13 @@
         self.by_domain.get(domain).map_or(&[], Vec::as_slice)
     }
 
+    /// The first member of each failure domain other than `domain`.
+    #[must_use]
+    pub fn first_elsewhere(&self, domain: &str) -> Vec<SocketAddr> {
+        let others = self.by_domain.iter().filter(|(name, _)| &***name != domain);
+        others.filter_map(|(_, candidates)| candidates.first().copied()).collect()
+    }
+
     /// The owners in all failure domains.
     pub fn owners(&self) -> impl Iterator<Item = SocketAddr> {
         self.by_domain.values().flat_map(|c| c.iter().take(OWNERS_PER_DOMAIN).copied())
--- /dev/null
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -0,0 +1,106 @@
+//! From where a daemon receives changes of the store's objects.
+//!
+//! Calls to the store must not grow with the fleet. Two daemons of each failure domain, the
+//! watchers, watch the store; the others receive the changes from them. A daemon whose watchers
+//! fall silent turns to those of other failure domains, and last to the store itself.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use persimmon_types::Time;
+
+/// Members of a failure domain that watch the store.
+const WATCHERS_PER_DOMAIN: usize = 2;
+
+/// How long a watcher that did not answer, or does not watch, is passed over.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
+
+/// How long a watcher is passed over that cannot reach the store: another one may.
+const STORE_DOWN_PAUSE: Duration = Duration::from_secs(1);
+
+/// Shortest interval between calls to the store while every watcher says that the store does not
+/// answer. A store that turns single hosts away may still serve this one.
+const MIN_OWN_CALL_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Pause before the watchers are tried again.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// From where the next changes are requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchSource {
+    /// The store. Contains whether this daemon is a watcher, or only makes up for them.
+    Store {
+        /// Whether other daemons rely on this one.
+        is_watcher: bool,
+    },
+    /// A watcher.
+    Watcher(SocketAddr),
+    /// None yet: wait this long.
+    Pause(Duration),
+}
+
+/// Why a watcher provided no changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatcherFailure {
+    /// It did not answer.
+    Unreachable,
+    /// It does not watch the store.
+    NotWatching,
+    /// The store does not answer it.
+    StoreDown,
+}
+
+/// Chooses the source of one kind of objects for one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct SourceChooser {
+    failed: HashMap<SocketAddr, (Time, WatcherFailure)>,
+    own_call_at: Time,
+}
+
+impl SourceChooser {
+    /// Creates a chooser that has seen no failure.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Chooses the source. `candidates` are the members of this daemon's failure domain that come
+    /// first, and `others` the first ones of the other failure domains; `draw` is a random number
+    /// from 0 to 1.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        own: SocketAddr,
+        candidates: &[SocketAddr],
+        others: &[SocketAddr],
+        draw: f64,
+    ) -> WatchSource {
+        let watchers = &candidates[..candidates.len().min(WATCHERS_PER_DOMAIN)];
+        if watchers.contains(&own) || watchers.is_empty() {
+            return WatchSource::Store { is_watcher: true };
+        }
+        self.failed.retain(|_, (until, _)| now < *until);
+        for watcher in watchers.iter().chain(others) {
+            if !self.failed.contains_key(watcher) {
+                return WatchSource::Watcher(*watcher);
+            }
+        }
+        let is_store_down = self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
+        if is_store_down && now < self.own_call_at {
+            return WatchSource::Pause(RETRY_DELAY);
+        }
+        // Jitter, so that the daemons do not call the store together.
+        self.own_call_at = now + MIN_OWN_CALL_INTERVAL.mul_f64(1.0 + draw);
+        WatchSource::Store { is_watcher: false }
+    }
+
+    /// Records that a watcher provided no changes.
+    pub fn record_failure(&mut self, now: Time, watcher: SocketAddr, failure: WatcherFailure) {
+        let pause = match failure {
+            WatcherFailure::StoreDown => STORE_DOWN_PAUSE,
+            WatcherFailure::Unreachable | WatcherFailure::NotWatching => UNREACHABLE_PAUSE,
+        };
+        self.failed.insert(watcher, (now + pause, failure));
+    }
+}
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -1,19 +1,34 @@
-//! Follows the table and the directory in the store: one listing, then watches from its revision.
+//! Follows the table and the directory in the store: one listing, then changes from its revision,
+//! which few daemons request from the store and the others from them.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{Change, ObjectKind, StoreError};
+use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, StoreError};
+use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure};
+use persimmon_types::Clock;
 use rand::Rng;
 
 use crate::control::Control;
 use crate::directory::max_directory_delay;
+use crate::relay::{FeedState, RelayReply, RelayedKind};
 
 /// How long a watch waits at the store, just below the thirty seconds that a store allows: a
 /// shorter wait costs more calls, and a watch whose revision has left the history also costs a
 /// listing. A store that goes silent is detected by the connection itself.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 
+/// The same for a daemon that only makes up for the watchers, which may answer again meanwhile.
+const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// The key by which the daemons that watch the store are chosen.
+const WATCHER_KEY: &str = "watchers of the store";
+
+/// How often a daemon that has just started checks whether it knows the watchers.
+const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Pause after a change of the directory, so that changes in quick succession cost one call.
 const DIRECTORY_PACE: Duration = Duration::from_millis(2_500);
 
@@ -68,75 +83,172 @@
 }
 
 async fn follow(control: Rc<Control>, kind: ObjectKind, pace: Duration) {
-    let mut backoff = Backoff::new(kind);
-    // The watch that follows delivers what a stale listing misses, unless the history is gone.
-    let mut may_be_stale = true;
+    let mut follower = Follower {
+        control: &control,
+        kind,
+        pace,
+        sources: SourceChooser::new(),
+        backoff: Backoff::new(kind),
+        revision: None,
+        // The watch that follows delivers what a stale listing misses, unless the history is gone.
+        may_be_stale: true,
+    };
     loop {
-        let err = match list(&control, kind, may_be_stale).await {
-            Ok(revision) => {
-                backoff = Backoff::new(kind);
-                watch(&control, kind, revision, pace).await
-            }
-            Err(err) => err,
-        };
-        control.record_store_call("follow", Some(&err));
-        if err == StoreError::HistoryGone {
-            may_be_stale = false;
-            tracing::info!(
-                ?kind,
-                "the watched revision is no longer in the store's history; listing again"
-            );
-            continue;
-        }
-        backoff.pause().await;
+        follower.step().await;
     }
 }
 
-async fn list(control: &Control, kind: ObjectKind, may_be_stale: bool) -> Result<u64, StoreError> {
-    let listing = control.platform.store.list(kind, may_be_stale).await?;
-    control.record_store_call::<StoreError>("list", None);
-    if kind == ObjectKind::Table {
-        for object in &listing.objects {
-            apply_table(control, object);
+/// Follows the objects of one kind.
+struct Follower<'a> {
+    control: &'a Control,
+    kind: ObjectKind,
+    /// Pause after a change that the store returned.
+    pace: Duration,
+    sources: SourceChooser,
+    backoff: Backoff,
+    /// The store's revision up to which changes were received; `None` before the first listing.
+    revision: Option<u64>,
+    may_be_stale: bool,
+}
+
+impl Follower<'_> {
+    async fn step(&mut self) {
+        let control = self.control;
+        if control.peers.daemon_count().is_none() {
+            // The watchers are not known yet.
+            if self.revision.is_none() {
+                self.follow_store(WATCH_WAIT).await;
+            } else {
+                tokio::time::sleep(SETTLE_CHECK_INTERVAL).await;
+            }
+            return;
+        }
+        let watchers = control.peers.owners(&Arc::from(WATCHER_KEY));
+        let domain = &control.settings.failure_domain;
+        let source = self.sources.choose(
+            Clock.now(),
+            control.settings.peers,
+            watchers.candidates(domain),
+            &watchers.first_elsewhere(domain),
+            rand::rng().random_range(0.0..1.0),
+        );
+        match source {
+            WatchSource::Store { is_watcher: true } => self.follow_store(WATCH_WAIT).await,
+            WatchSource::Store { is_watcher: false } => {
+                self.set_feed_state(FeedState::NotWatching);
+                self.follow_store(SUBSTITUTE_WATCH_WAIT).await;
+            }
+            WatchSource::Watcher(peer) => {
+                self.set_feed_state(FeedState::NotWatching);
+                self.follow_watcher(peer).await;
+            }
+            WatchSource::Pause(pause) => tokio::time::sleep(pause).await,
         }
-        return Ok(listing.revision);
     }
-    let changed = control.directory.borrow_mut().apply_listing(&*control.object_decoder, &listing);
-    let is_first = !control.has_directory.replace(true);
-    if changed || is_first {
-        control.publish();
+
+    fn set_feed_state(&self, state: FeedState) {
+        if let Ok(kind) = RelayedKind::try_from(self.kind) {
+            self.control.relay.set_state(kind, state);
+        }
     }
-    Ok(listing.revision)
-}
 
-/// Watches, retrying failed calls, until the revision has left the store's history; returns that
-/// error.
-async fn watch(
-    control: &Control,
-    kind: ObjectKind,
-    mut revision: u64,
-    pace: Duration,
-) -> StoreError {
-    let mut failures = Backoff::new(kind);
-    loop {
-        match control.platform.store.watch(kind, revision, WATCH_WAIT).await {
-            Ok(changes) => {
-                control.record_store_call::<StoreError>("watch", None);
-                failures = Backoff::new(kind);
-                revision = revision.max(changes.revision);
-                let has_changes = !changes.changes.is_empty();
-                apply_changes(control, kind, &changes.changes);
+    /// Lists the objects in the store if none were received yet, or watches them.
+    async fn follow_store(&mut self, wait: Duration) {
+        let (call, result) = match self.revision {
+            None => ("list", self.list().await),
+            Some(revision) => ("watch", self.watch(revision, wait).await),
+        };
+        self.control.record_store_call(call, result.as_ref().err());
+        match result {
+            Ok(has_changes) => {
+                self.backoff = Backoff::new(self.kind);
+                self.set_feed_state(FeedState::Live);
                 if has_changes {
-                    tokio::time::sleep(pace).await;
+                    tokio::time::sleep(self.pace).await;
                 }
             }
-            Err(StoreError::HistoryGone) => return StoreError::HistoryGone,
+            Err(StoreError::HistoryGone) => {
+                tracing::info!(kind = ?self.kind,
+                    "the watched revision is no longer in the store's history; listing again");
+                self.revision = None;
+                self.may_be_stale = false;
+            }
             // A watch may be interrupted at any time; missed changes are in the history.
+            Err(_) => {
+                self.set_feed_state(FeedState::StoreDown);
+                self.backoff.pause().await;
+            }
+        }
+    }
+
+    async fn list(&mut self) -> Result<bool, StoreError> {
+        let listing = self.control.platform.store.list(self.kind, self.may_be_stale).await?;
+        self.apply_listing(&listing);
+        Ok(false)
+    }
+
+    async fn watch(&mut self, revision: u64, wait: Duration) -> Result<bool, StoreError> {
+        let changes = self.control.platform.store.watch(self.kind, revision, wait).await?;
+        let has_changes = !changes.changes.is_empty();
+        self.apply_changes(&changes);
+        Ok(has_changes)
+    }
+
+    /// Requests the changes from a daemon that watches the store.
+    async fn follow_watcher(&mut self, peer: SocketAddr) {
+        let Ok(kind) = RelayedKind::try_from(self.kind) else {
+            return;
+        };
+        let failure = match self.control.request_changes(peer, kind, self.revision).await {
+            Ok(RelayReply::Changes(changes)) => {
+                self.apply_changes(&Changes::from(changes));
+                None
+            }
+            Ok(RelayReply::Listing(listing)) => {
+                self.apply_listing(&Listing::from(listing));
+                None
+            }
+            Ok(RelayReply::NotWatching) => Some(WatcherFailure::NotWatching),
+            Ok(RelayReply::StoreDown) => Some(WatcherFailure::StoreDown),
             Err(err) => {
-                control.record_store_call("watch", Some(&err));
-                failures.pause().await;
+                tracing::info!(kind = ?self.kind, %peer, error = %err,
+                    "a watcher of the store does not answer");
+                Some(WatcherFailure::Unreachable)
             }
+        };
+        if failure != Some(WatcherFailure::NotWatching) {
+            self.control.record_source(failure);
+        }
+        if let Some(failure) = failure {
+            self.sources.record_failure(Clock.now(), peer, failure);
+        }
+    }
+
+    fn apply_listing(&mut self, listing: &Listing) {
+        self.revision = Some(listing.revision);
+        if let Ok(kind) = RelayedKind::try_from(self.kind) {
+            self.control.relay.apply_listing(kind, listing);
+        }
+        if self.kind == ObjectKind::Table {
+            for object in &listing.objects {
+                apply_table(self.control, object);
+            }
+            return;
+        }
+        let decoder = &*self.control.object_decoder;
+        let changed = self.control.directory.borrow_mut().apply_listing(decoder, listing);
+        let is_first = !self.control.has_directory.replace(true);
+        if changed || is_first {
+            self.control.publish();
+        }
+    }
+
+    fn apply_changes(&mut self, changes: &Changes) {
+        self.revision = self.revision.max(Some(changes.revision));
+        if let Ok(kind) = RelayedKind::try_from(self.kind) {
+            self.control.relay.apply_changes(kind, changes);
         }
+        apply_changes(self.control, self.kind, &changes.changes);
     }
 }
 
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -6,13 +6,17 @@
 mod promotion;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io;
-use std::net::TcpListener as StdListener;
+use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
 use persimmon_interfaces::{InstanceProtocol, ObjectDecoder, Table};
+use persimmon_ownership::WatcherFailure;
+use tarpc::context;
 use tokio::sync::{mpsc, watch};
 
 use crate::adapter::{Connect, PlatformClients};
@@ -20,12 +24,17 @@
 use crate::directory::Directory;
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
+use crate::peer_service::{PeerError, PeerServiceClient, connect};
 use crate::reachability::Reachability;
+use crate::relay::{Relay, RelayReply, RelayedKind};
 use crate::sampling::LatestSamples;
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::Suspicion;
 
+/// How long a watcher of the store may take to answer: it waits one second for changes.
+const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// What the control thread is created from.
 pub(crate) struct Parts {
     pub(crate) settings: Arc<Settings>,
@@ -35,6 +44,8 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) snapshot: watch::Sender<Arc<RoutingSnapshot>>,
     pub(crate) suspicions: mpsc::Receiver<Suspicion>,
+    /// For suspicions that peers report.
+    pub(crate) peer_suspicions: mpsc::Sender<Suspicion>,
     pub(crate) peer_listener: StdListener,
     pub(crate) reachability: Arc<Reachability>,
     pub(crate) peers: Arc<PeerList>,
@@ -51,8 +62,13 @@
     pub(crate) table: RefCell<Option<Arc<Table>>>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_directory: Cell<bool>,
-    /// Whether the store answered the latest call that ended.
+    /// Whether the store answered the latest call that ended, of this daemon or of the watcher that
+    /// it follows.
     is_store_answering: Cell<bool>,
+    /// Changes of the store's objects for daemons that do not watch it.
+    pub(crate) relay: Arc<Relay>,
+    /// Connections to the watchers that this daemon follows.
+    watchers: RefCell<HashMap<SocketAddr, PeerServiceClient>>,
     /// State that is served to peers.
     pub(crate) published: Arc<PublishedState>,
     /// Which instances answer this daemon.
@@ -121,6 +137,42 @@
         }
     }
 
+    /// Records whether a watcher of the store provided its changes.
+    pub(crate) fn record_source(&self, failure: Option<WatcherFailure>) {
+        let was_reachable = self.is_store_answering.replace(failure.is_none());
+        if was_reachable != failure.is_none() {
+            tracing::info!(?failure, "whether a watcher of the store provides changes has changed");
+        }
+    }
+
+    /// Requests the changes since a revision from a daemon that watches the store.
+    pub(crate) async fn request_changes(
+        &self,
+        peer: SocketAddr,
+        kind: RelayedKind,
+        revision: Option<u64>,
+    ) -> Result<RelayReply, PeerError> {
+        let call = async {
+            let known = self.watchers.borrow().get(&peer).cloned();
+            let client = match known {
+                Some(client) => client,
+                None => {
+                    let client = connect(&self.metrics, peer).await?;
+                    self.watchers.borrow_mut().insert(peer, client.clone());
+                    client
+                }
+            };
+            let revision = revision.unwrap_or_default();
+            Ok(client.changes(context::current(), kind, revision).await?)
+        };
+        let answer = tokio::time::timeout(WATCHER_TIMEOUT, call).await;
+        let answer = answer.unwrap_or(Err(PeerError::TimedOut));
+        if answer.is_err() {
+            self.watchers.borrow_mut().remove(&peer);
+        }
+        answer
+    }
+
     /// Whether the store answered the latest call that ended.
     pub(crate) fn is_store_reachable(&self) -> bool {
         self.is_store_answering.get()
@@ -154,6 +206,8 @@
         directory: RefCell::new(directory),
         has_directory: Cell::new(false),
         is_store_answering: Cell::new(false),
+        relay: Arc::default(),
+        watchers: RefCell::default(),
         published: Arc::default(),
         reachability: parts.reachability,
         peers: parts.peers,
@@ -161,7 +215,7 @@
         incarnation: rand::random(),
         snapshot: parts.snapshot,
     });
-    if let Err(err) = peers::serve(&control, parts.peer_listener) {
+    if let Err(err) = peers::serve(&control, parts.peer_listener, parts.peer_suspicions) {
         tracing::error!(error = %err, "cannot serve peers");
     }
     ntex::rt::spawn(follow::follow_table(Rc::clone(&control)));
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -28,7 +28,9 @@
     DaemonState, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample, connect,
 };
 use crate::reachability::Reachability;
+use crate::relay::{Relay, RelayReply, RelayedKind};
 use crate::sampling::LatestSamples;
+use crate::traffic::Suspicion;
 use crate::wire_member::{WireMember, WireMembers};
 
 /// How long a peer may take to answer.
@@ -38,12 +40,18 @@
 /// for a change of the table to become active.
 const FETCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rounds between two such requests of a daemon that has a table and a directory.
+const REFRESH_ROUNDS: u32 = 3;
+
 /// Number of peers asked in one round.
 const FETCH_CONCURRENCY: usize = 2;
 
 /// Number of peers polled on whether an instance answers them.
 const POLLED_PEERS: usize = 7;
 
+/// Number of daemons that acquire the promotion lock of a service before others do.
+const LOCK_CANDIDATES: usize = 3;
+
 /// Timeout of a poll; votes that arrive later are not counted.
 const POLL_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -94,6 +102,8 @@
     reachability: Arc<Reachability>,
     peers: Arc<PeerList>,
     samples: Arc<LatestSamples>,
+    relay: Arc<Relay>,
+    suspicions: mpsc::Sender<Suspicion>,
     probe_requests: mpsc::Sender<ProbeRequest>,
 }
 
@@ -124,6 +134,17 @@
         }
     }
 
+    async fn changes(self, _: context::Context, kind: RelayedKind, revision: u64) -> RelayReply {
+        self.relay.wait(kind, revision).await
+    }
+
+    async fn suspect(self, _: context::Context, service: Arc<str>, instance: Arc<str>) {
+        tracing::info!(%service, %instance, "a peer suspects a primary");
+        let suspicion = Suspicion { service, instance, is_from_peer: true };
+        // A full channel already holds suspicions that the control thread has not read.
+        let _ = self.suspicions.try_send(suspicion);
+    }
+
     async fn sample(
         self,
         _: context::Context,
@@ -144,12 +165,16 @@
     }
 }
 
-/// Serves peers on a listener.
+/// Serves peers on a listener; their suspicions are sent to `suspicions`.
 ///
 /// # Errors
 ///
 /// Returns an error if the listener cannot be used.
-pub(crate) fn serve(control: &Rc<Control>, listener: StdListener) -> io::Result<()> {
+pub(crate) fn serve(
+    control: &Rc<Control>,
+    listener: StdListener,
+    suspicions: mpsc::Sender<Suspicion>,
+) -> io::Result<()> {
     listener.set_nonblocking(true)?;
     let listener = TcpListener::from_std(listener)?;
     let (probe_requests_tx, probe_requests) = mpsc::channel(PROBE_QUEUE);
@@ -158,6 +183,8 @@
         reachability: Arc::clone(&control.reachability),
         peers: Arc::clone(&control.peers),
         samples: Arc::clone(&control.samples),
+        relay: Arc::clone(&control.relay),
+        suspicions,
         probe_requests: probe_requests_tx,
     };
     ntex::rt::spawn(answer_probes(Rc::clone(control), probe_requests));
@@ -214,7 +241,8 @@
     let mut rounds: u32 = 0;
     loop {
         let is_reachable = control.is_store_reachable() && control.has_directory.get();
-        if !is_reachable {
+        let has_state = control.has_directory.get() && control.table.borrow().is_some();
+        if !is_reachable && (!has_state || rounds.is_multiple_of(REFRESH_ROUNDS)) {
             fetch_from_peers(&control).await;
         }
         let is_starting = rounds < INITIAL_EXCHANGES;
@@ -308,6 +336,33 @@
     (count(false), count(true))
 }
 
+/// Whether this daemon is one of the first to acquire a service's promotion lock.
+pub(crate) fn is_lock_candidate(control: &Control, service: &Arc<str>) -> bool {
+    control.peers.top(service, LOCK_CANDIDATES).contains(&control.settings.peers)
+}
+
+/// Tells the daemons that may hold a service's promotion lock that statements fail at its primary:
+/// the holder may have no client of the service.
+pub(crate) fn report_suspicion(control: &Rc<Control>, service: &Arc<str>, instance: &Arc<str>) {
+    for peer in control.peers.top(service, LOCK_CANDIDATES) {
+        if peer == control.settings.peers {
+            continue;
+        }
+        let (control, service, instance) =
+            (Rc::clone(control), Arc::clone(service), Arc::clone(instance));
+        ntex::rt::spawn(async move {
+            let call = async {
+                let client = connect(&control.metrics, peer).await?;
+                Ok(client.suspect(context::current(), service, instance).await?)
+            };
+            let told = tokio::time::timeout(POLL_TIMEOUT, call).await;
+            if let Err(err) = told.unwrap_or(Err(PeerError::TimedOut)) {
+                tracing::info!(%peer, error = %err, "a suspicion could not be reported");
+            }
+        });
+    }
+}
+
 fn merge_state(control: &Control, peer: SocketAddr, state: DaemonState) {
     if let Some(introduction) = state.introduction {
         merge_introduction(control, introduction);
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -1,6 +1,6 @@
 //! Runs the promotion coordinator of each service.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 use persimmon_promotion::{
     Action, Asked, Input, PrimaryInfo, PromotionCoordinator, PromotionLockRecord,
 };
-use persimmon_types::{Clock, Term};
+use persimmon_types::{Clock, Term, Time};
 use rand::Rng;
 use serde::Deserialize;
 use tokio::sync::mpsc;
@@ -33,14 +33,15 @@
 /// promotion, so that its request can take effect.
 const PROMOTION_GRACE_MS: u64 = 2_500;
 
-/// How long a seed waits before it acquires a promotion lock in advance, so that peers have
-/// contacted it first.
-const INITIAL_LOCK_DELAY: Duration = Duration::from_millis(800);
+/// Shortest interval between two reports of suspicions of one service's primary.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 struct RunningCoordinator {
     coordinator: RefCell<PromotionCoordinator>,
     probes: ProbeConnections,
     service: Arc<str>,
+    /// When a suspicion was last reported to the daemons that may hold the promotion lock.
+    reported_at: Cell<Time>,
 }
 
 /// Runs all coordinators until the process ends.
@@ -51,11 +52,11 @@
     loop {
         tokio::select! {
             suspicion = suspicions.recv() => {
-                let Some(Suspicion { service, instance }) = suspicion else {
+                let Some(suspicion) = suspicion else {
                     return;
                 };
-                if let Some(running) = running.get(&service) {
-                    handle_input(&control, running, Input::Suspected(instance));
+                if let Some(running) = running.get(&suspicion.service) {
+                    on_suspicion(&control, running, suspicion);
                 }
             }
             _ = ticks.tick() => {
@@ -65,6 +66,26 @@
     }
 }
 
+fn on_suspicion(control: &Rc<Control>, running: &Rc<RunningCoordinator>, suspicion: Suspicion) {
+    let Suspicion { service, instance, is_from_peer } = suspicion;
+    handle_input(control, running, Input::Suspected(Arc::clone(&instance)));
+    let holds_lock = running.coordinator.borrow().fencing_token().is_some();
+    let is_primary = primary_info(control, &service).primary.as_ref() == Some(&instance);
+    let now = Clock.now();
+    if is_from_peer
+        || holds_lock
+        || !is_primary
+        || now.since(running.reported_at.get()) < REPORT_INTERVAL
+    {
+        return;
+    }
+    // Also while this daemon's own coordinator is at work: it cannot act without the lock.
+    running.reported_at.set(now);
+    tracing::info!(%service, %instance,
+        "the suspicion of a primary is reported to the candidates for the promotion lock");
+    peers::report_suspicion(control, &service, &instance);
+}
+
 fn tick(control: &Rc<Control>, running: &mut HashMap<Arc<str>, Rc<RunningCoordinator>>) {
     let now = Clock.now();
     if control.directory.borrow_mut().tick(now, control.is_store_reachable()) {
@@ -74,19 +95,24 @@
     let Some(table) = &snapshot.table else {
         return;
     };
+    if control.peers.daemon_count().is_none() {
+        // Whether this daemon is one of the first to acquire promotion locks is not known yet.
+        return;
+    }
     let mut names: Vec<_> = table.services.keys().cloned().collect();
     names.sort();
-    for (index, name) in names.iter().enumerate() {
+    for name in &names {
         if snapshot.instances(name).is_empty() {
             continue;
         }
         let entry = running.entry(Arc::clone(name)).or_insert_with(|| {
             let running = Rc::new(RunningCoordinator {
-                coordinator: RefCell::new(new_coordinator(control)),
+                coordinator: RefCell::new(new_coordinator(control, name)),
                 probes: ProbeConnections::default(),
                 service: Arc::clone(name),
+                reported_at: Cell::default(),
             });
-            acquire_initial_lock(control, &running, index);
+            acquire_initial_lock(control, &running);
             running
         });
         let is_synchronous = table.services.get(name).is_some_and(|s| s.is_synchronous);
@@ -98,21 +124,21 @@
     }
 }
 
-fn new_coordinator(control: &Control) -> PromotionCoordinator {
-    let stagger = LOCK_STAGGER.mul_f64(rand::rng().random_range(0.0..1.0));
+fn new_coordinator(control: &Control, service: &Arc<str>) -> PromotionCoordinator {
+    let is_candidate = peers::is_lock_candidate(control, service);
+    let (min, max) = if is_candidate { (0.0, 0.3) } else { (0.3, 1.0) };
+    let stagger = LOCK_STAGGER.mul_f64(rand::rng().random_range(min..max));
     PromotionCoordinator::new(stagger).with_lock_lease(control.settings.promotion_lock_lease)
 }
 
-/// Acquires the promotion lock on one seed per service in advance, so that a primary can be
-/// replaced while the store is unavailable.
-fn acquire_initial_lock(control: &Rc<Control>, running: &Rc<RunningCoordinator>, index: usize) {
-    let seeds = &control.settings.seeds;
-    if seeds.is_empty() || seeds[index % seeds.len()] != control.settings.peers {
+/// Acquires the promotion lock in advance on the daemon that comes first for the service, so that a
+/// primary can be replaced while the store is unavailable.
+fn acquire_initial_lock(control: &Rc<Control>, running: &Rc<RunningCoordinator>) {
+    if control.peers.top(&running.service, 1) != [control.settings.peers] {
         return;
     }
     let (control, running) = (Rc::clone(control), Rc::clone(running));
     ntex::rt::spawn(async move {
-        tokio::time::sleep(INITIAL_LOCK_DELAY).await;
         let input = acquire_lock(&control, &running.service).await;
         handle_input(&control, &running, input);
     });
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod primaries;
 mod reachability;
+mod relay;
 mod round_trip;
 mod run;
 mod sampling;
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -12,6 +12,7 @@
 use thiserror::Error;
 
 use crate::metrics::Metrics;
+use crate::relay::{RelayReply, RelayedKind};
 use crate::wire_member::{WireMember, WireMembers};
 
 /// Maximum message size in bytes, enough for a table of some thousand routes.
@@ -56,6 +57,13 @@
     /// caller knows.
     async fn meet(from: WireMember, members: u64) -> Introduction;
 
+    /// Waits for changes of the store's objects after `revision`; zero requests a listing.
+    async fn changes(kind: RelayedKind, revision: u64) -> RelayReply;
+
+    /// Tells a daemon that may hold the promotion lock of a service that statements fail at its
+    /// primary.
+    async fn suspect(service: Arc<str>, instance: Arc<str>);
+
     /// Returns whether an instance answers this daemon; `None` if that cannot be determined.
     async fn reaches(instance: Arc<str>) -> Option<bool>;
 
--- /dev/null
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -0,0 +1,282 @@
+//! Changes of the store's objects, kept for daemons that do not watch the store.
+//!
+//! Invariant: a caller that has everything up to a revision receives every later change, or a full
+//! listing.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind};
+use persimmon_types::Clock;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::sync::Notify;
+
+/// Number of batches of changes that are kept; a caller that lacks an older one gets a listing.
+const MAX_BATCHES: usize = 64;
+
+/// How long a caller waits for changes: a fraction of the time within which a change of the table
+/// must become active, because a caller notices only after this time that a watcher is silent.
+const WAIT_LIMIT: Duration = Duration::from_secs(1);
+
+/// The kinds of objects that are relayed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RelayedKind {
+    Table,
+    Instances,
+}
+
+impl TryFrom<ObjectKind> for RelayedKind {
+    type Error = ();
+
+    fn try_from(kind: ObjectKind) -> Result<Self, ()> {
+        match kind {
+            ObjectKind::Table => Ok(Self::Table),
+            ObjectKind::Instances => Ok(Self::Instances),
+            ObjectKind::Duties => Err(()),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireObject {
+    name: Arc<str>,
+    revision: u64,
+    value: Value,
+}
+
+impl From<&Object> for WireObject {
+    fn from(object: &Object) -> Self {
+        Self {
+            name: Arc::clone(&object.name),
+            revision: object.revision,
+            value: object.value.clone(),
+        }
+    }
+}
+
+impl From<WireObject> for Object {
+    fn from(wire: WireObject) -> Self {
+        Self { name: wire.name, revision: wire.revision, value: wire.value }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum WireChange {
+    Written(WireObject),
+    Removed(Arc<str>),
+}
+
+impl From<&Change> for WireChange {
+    fn from(change: &Change) -> Self {
+        match change {
+            Change::Written(object) => Self::Written(object.into()),
+            Change::Removed(name) => Self::Removed(Arc::clone(name)),
+        }
+    }
+}
+
+impl From<WireChange> for Change {
+    fn from(wire: WireChange) -> Self {
+        match wire {
+            WireChange::Written(object) => Self::Written(object.into()),
+            WireChange::Removed(name) => Self::Removed(name),
+        }
+    }
+}
+
+/// Changes since a revision.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct WireChanges {
+    changes: Vec<WireChange>,
+    revision: u64,
+}
+
+impl From<WireChanges> for Changes {
+    fn from(wire: WireChanges) -> Self {
+        let changes = wire.changes.into_iter().map(Change::from).collect();
+        Self { changes, revision: wire.revision }
+    }
+}
+
+/// All objects of a kind.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct WireListing {
+    objects: Vec<WireObject>,
+    revision: u64,
+}
+
+impl From<WireListing> for Listing {
+    fn from(wire: WireListing) -> Self {
+        let objects = wire.objects.into_iter().map(Object::from).collect();
+        Self { objects, revision: wire.revision }
+    }
+}
+
+/// What a watcher answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum RelayReply {
+    /// The changes since the requested revision; none if there were none in time.
+    Changes(WireChanges),
+    /// All objects, because the changes since the requested revision are not known.
+    Listing(WireListing),
+    /// This daemon does not watch the store.
+    NotWatching,
+    /// The store does not answer this daemon.
+    StoreDown,
+}
+
+#[derive(Debug)]
+struct Batch {
+    after: u64,
+    revision: u64,
+    changes: Vec<Change>,
+}
+
+/// Whether a daemon follows the store itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FeedState {
+    /// It receives changes from another daemon.
+    #[default]
+    NotWatching,
+    /// The store does not answer.
+    StoreDown,
+    /// The store answers.
+    Live,
+}
+
+#[derive(Debug, Default)]
+struct Feed {
+    state: FeedState,
+    revision: u64,
+    objects: BTreeMap<Arc<str>, Object>,
+    batches: VecDeque<Batch>,
+}
+
+impl Feed {
+    fn changes_since(&self, revision: u64) -> Option<WireChanges> {
+        let newer = self.batches.iter().skip_while(|batch| batch.revision <= revision);
+        let first_after = newer.clone().next().map_or(self.revision, |batch| batch.after);
+        if first_after > revision {
+            return None;
+        }
+        let changes = newer.flat_map(|batch| &batch.changes).map(WireChange::from).collect();
+        Some(WireChanges { changes, revision: self.revision })
+    }
+
+    fn reply(&self, revision: u64) -> Option<RelayReply> {
+        match self.state {
+            FeedState::NotWatching => return Some(RelayReply::NotWatching),
+            FeedState::StoreDown | FeedState::Live if self.revision == 0 => return None,
+            FeedState::StoreDown => return Some(RelayReply::StoreDown),
+            FeedState::Live => {}
+        }
+        if self.revision <= revision {
+            return None;
+        }
+        Some(self.changes_since(revision).map_or_else(
+            || {
+                let objects = self.objects.values().map(WireObject::from).collect();
+                RelayReply::Listing(WireListing { objects, revision: self.revision })
+            },
+            RelayReply::Changes,
+        ))
+    }
+}
+
+/// What this daemon has read from the store, for daemons that do not watch it.
+#[derive(Debug, Default)]
+pub(crate) struct Relay {
+    table: Mutex<Feed>,
+    instances: Mutex<Feed>,
+    changed: Notify,
+}
+
+impl Relay {
+    fn feed(&self, kind: RelayedKind) -> MutexGuard<'_, Feed> {
+        let feed = match kind {
+            RelayedKind::Table => &self.table,
+            RelayedKind::Instances => &self.instances,
+        };
+        feed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records whether this daemon follows the store, and whether the store answers.
+    pub(crate) fn set_state(&self, kind: RelayedKind, state: FeedState) {
+        let before = std::mem::replace(&mut self.feed(kind).state, state);
+        if before != state {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Replaces all objects of a kind.
+    pub(crate) fn apply_listing(&self, kind: RelayedKind, listing: &Listing) {
+        let mut feed = self.feed(kind);
+        feed.batches.clear();
+        feed.revision = listing.revision;
+        let objects = listing.objects.iter().map(|o| (Arc::clone(&o.name), o.clone()));
+        feed.objects = objects.collect();
+        drop(feed);
+        self.changed.notify_waiters();
+    }
+
+    /// Applies what a watch returned.
+    pub(crate) fn apply_changes(&self, kind: RelayedKind, changes: &Changes) {
+        let mut feed = self.feed(kind);
+        if changes.revision <= feed.revision {
+            return;
+        }
+        for change in &changes.changes {
+            match change {
+                Change::Written(object) => {
+                    feed.objects.insert(Arc::clone(&object.name), object.clone());
+                }
+                Change::Removed(name) => {
+                    feed.objects.remove(name);
+                }
+            }
+        }
+        let batch = Batch {
+            after: feed.revision,
+            revision: changes.revision,
+            changes: changes.changes.clone(),
+        };
+        feed.revision = changes.revision;
+        feed.batches.push_back(batch);
+        if feed.batches.len() > MAX_BATCHES {
+            feed.batches.pop_front();
+        }
+        drop(feed);
+        self.changed.notify_waiters();
+    }
+
+    /// The changes since a revision, as soon as there are any.
+    pub(crate) async fn wait(&self, kind: RelayedKind, revision: u64) -> RelayReply {
+        let deadline = Clock.now() + WAIT_LIMIT;
+        let state = self.feed(kind).state;
+        loop {
+            let changed = self.changed.notified();
+            let is_down = {
+                let feed = self.feed(kind);
+                let is_down = feed.state != FeedState::Live;
+                // A caller that is told at once that the store is down would ask again at once.
+                if !is_down || feed.state != state || feed.state == FeedState::NotWatching {
+                    if let Some(reply) = feed.reply(revision) {
+                        return reply;
+                    }
+                }
+                is_down
+            };
+            let left = deadline.since(Clock.now());
+            if left.is_zero() {
+                if is_down {
+                    return RelayReply::StoreDown;
+                }
+                return RelayReply::Changes(WireChanges { changes: Vec::new(), revision });
+            }
+            // A timeout only makes the loop check again.
+            let _ = tokio::time::timeout(left, changed).await;
+        }
+    }
+}
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -80,6 +80,7 @@
         metrics: Arc::clone(&metrics),
         snapshot: snapshot_tx,
         suspicions,
+        peer_suspicions: suspicions_tx.clone(),
         peer_listener,
         reachability: Arc::clone(&reachability),
         peers: Arc::clone(&peers),
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -45,6 +45,8 @@
 pub(crate) struct Suspicion {
     pub(crate) service: Arc<str>,
     pub(crate) instance: Arc<str>,
+    /// Whether another daemon reported it.
+    pub(crate) is_from_peer: bool,
 }
 
 /// The stages of a graceful shutdown.
@@ -149,7 +151,11 @@
 
     /// Tells the control thread that a statement failed at a primary.
     pub(crate) fn suspect(&self, service: &Arc<str>, instance: &Arc<str>) {
-        let suspicion = Suspicion { service: Arc::clone(service), instance: Arc::clone(instance) };
+        let suspicion = Suspicion {
+            service: Arc::clone(service),
+            instance: Arc::clone(instance),
+            is_from_peer: false,
+        };
         // A full channel already holds suspicions that the control thread has not read.
         let _ = self.suspicions.try_send(suspicion);
     }
--- /dev/null
+++ b/crates/persimmond/tests/forwarding.rs
@@ -0,0 +1,231 @@
+//! Tests daemons that run statements of others, as separate processes. Guards against statements
+//! that are run twice or refused falsely when the daemon that runs them stops, freezes or is killed,
+//! and against transactions and session state that do not survive the hop.
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use persimmon_lab::line_cluster::{InstanceProfile, LineCluster};
+use rustix::process::Signal;
+
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_on};
+
+/// A connection limit below the number of daemons of these tests.
+const FEW_CONNECTIONS: usize = 6;
+
+/// Number of daemons.
+const DAEMONS: usize = 4;
+
+/// Starts daemons of which one owns the service; returns its index too.
+fn setup_with_owner(name: &str) -> (Setup, usize) {
+    setup_with_profile(name, InstanceProfile::default())
+}
+
+fn setup_with_profile(name: &str, profile: InstanceProfile) -> (Setup, usize) {
+    let cluster = LineCluster::start(1, 3, profile)
+        .expect("the fake platform starts")
+        .with_max_connections(FEW_CONNECTIONS);
+    let setup = setup_on(name, DAEMONS, cluster);
+    let know_each_other = || {
+        (0..DAEMONS).all(|daemon| {
+            setup.has_logged(daemon, |line| {
+                line["message"] == "members were exchanged" && line["daemons"] == DAEMONS
+            })
+        })
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, know_each_other), "a daemon does not know the others");
+    let owner = find_owner(&setup);
+    (setup, owner)
+}
+
+/// The daemon to which the others connect after a statement on each of them.
+fn find_owner(setup: &Setup) -> usize {
+    for daemon in 0..DAEMONS {
+        let read = setup.client(daemon, "r0", "find").query("READ item").expect("a response");
+        assert!(read.result.is_ok(), "{read:?}");
+    }
+    let mut owner = None;
+    let is_found = || {
+        owner = (0..DAEMONS).find(|candidate| {
+            let address = setup.daemons[*candidate].addresses.peers.to_string();
+            (0..DAEMONS).any(|daemon| {
+                setup.has_logged(daemon, |line| {
+                    line["message"] == "connected to an owner of services"
+                        && line["peer"] == *address
+                })
+            })
+        });
+        owner.is_some()
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, is_found), "no statement was forwarded");
+    owner.unwrap_or_default()
+}
+
+/// A daemon that does not own the service.
+fn other_than(owner: usize) -> usize {
+    (owner + 1) % DAEMONS
+}
+
+#[test]
+fn session_state_and_transactions_survive_the_hop() {
+    let (setup, owner) = setup_with_owner("hop-state");
+    let mut clients: Vec<_> =
+        (0..6).map(|n| setup.client(other_than(owner), "r0", &format!("c{n}"))).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        assert!(client.query(&format!("SET who c{number}")).expect("a response").result.is_ok());
+        let prepared = client.query("PREPARE s1 WRITE shape").expect("a response");
+        assert_eq!(prepared.result, Ok("-".to_owned()));
+    }
+
+    for round in 0..10 {
+        for (number, client) in clients.iter_mut().enumerate() {
+            assert_eq!(client.query("BEGIN").expect("a response").state, "T");
+            let written = client.query(&format!("EXECUTE s1 k{number} v{number}-{round}"));
+            assert!(written.expect("a response").result.is_ok());
+            let committed = client.query("COMMIT").expect("a response");
+            assert!(committed.result.is_ok(), "{committed:?}");
+            let read = client.query(&format!("READ k{number}")).expect("a response");
+            assert_eq!(read.rows, [format!("v{number}-{round}")]);
+        }
+    }
+
+    setup.assert_no_violations();
+}
+
+#[test]
+fn few_daemons_connect_to_an_instance() {
+    let (setup, owner) = setup_with_owner("hop-connections");
+    let (_, instances) = &setup.cluster.groups[0];
+    let opened = |setup: &Setup| -> usize {
+        setup.cluster.groups[0].1.iter().map(|i| i.server.total_connections()).sum()
+    };
+    setup.client(owner, "p0", "warm").query("READ item").expect("a response");
+    let before = opened(&setup);
+
+    for round in 0..40 {
+        let mut client = setup.client(round % DAEMONS, "p0", "c");
+        assert!(client.query("READ item").expect("a response").result.is_ok());
+    }
+
+    // Each session is new, and every one found a connection that another had used.
+    let new = opened(&setup) - before;
+    assert!(new <= 4, "{new} new connections for 40 sessions");
+    assert!(instances.iter().all(|i| i.server.open_connections() <= FEW_CONNECTIONS));
+    setup.assert_no_violations();
+}
+
+#[test]
+fn killed_owner_aborts_its_transactions_and_is_replaced() {
+    let (mut setup, owner) = setup_with_owner("hop-kill");
+    let mut client = setup.client(other_than(owner), "p0", "c1");
+    assert!(client.query("BEGIN").expect("a response").result.is_ok());
+    assert!(client.query("WRITE item lost").expect("a response").result.is_ok());
+
+    setup.daemons[owner].kill();
+    let committed = client.query("COMMIT").expect("a response");
+    let began = Instant::now();
+    let read = client.query("READ item").expect("a response");
+
+    // The commit may have reached the owner before it was killed.
+    assert!(matches!(committed.code(), Some("ABORTED" | "INDOUBT")), "{committed:?}");
+    assert_eq!(read.rows, ["-"], "{read:?}");
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    setup.assert_no_violations();
+}
+
+#[test]
+fn frozen_owner_makes_writes_in_doubt_and_reads_go_elsewhere() {
+    let profile =
+        InstanceProfile { statement_time: Duration::from_millis(20), ..InstanceProfile::default() };
+    let (setup, owner) = setup_with_profile("hop-freeze", profile);
+    let mut writer = setup.client(other_than(owner), "p0", "w");
+    let mut reader = setup.client(other_than(owner), "p0", "r");
+    assert!(writer.query("WRITE item v0").expect("a response").result.is_ok());
+
+    setup.daemons[owner].signal(Signal::STOP);
+    writer.send("WRITE item v1").expect("the request is sent");
+    let began = Instant::now();
+    let read = reader.query("READ item").expect("a response");
+    let read_after = began.elapsed();
+    let written = writer.receive_response().expect("a response");
+    setup.daemons[owner].signal(Signal::CONT);
+
+    assert!(read.result.is_ok(), "{read:?}");
+    assert!(read_after < Duration::from_millis(1_000), "{read_after:?}");
+    assert_eq!(written.code(), Some("INDOUBT"), "{written:?}");
+    // The owner runs the write now, or never; the fakes report a write that runs twice.
+    let mut client = setup.client(owner, "p0", "after");
+    assert!(client.query("WRITE other v").expect("a response").result.is_ok());
+    setup.assert_no_violations();
+}
+
+#[test]
+fn slow_statement_at_a_live_owner_is_not_started_again() {
+    let profile = InstanceProfile {
+        statement_time: Duration::from_millis(600),
+        ..InstanceProfile::default()
+    };
+    let (setup, owner) = setup_with_profile("hop-slow", profile);
+    let mut client = setup.client(other_than(owner), "p0", "w");
+
+    let written = client.query("WRITE item v1").expect("a response");
+
+    assert!(written.result.is_ok(), "{written:?}");
+    setup.assert_no_violations();
+}
+
+#[test]
+fn stopping_owner_completes_transactions_of_others_and_refuses_nothing() {
+    let (setup, owner) = setup_with_owner("hop-stop");
+    let mut busy = setup.client(other_than(owner), "p0", "busy");
+    assert!(busy.query("BEGIN").expect("a response").result.is_ok());
+    assert!(busy.query("WRITE item v").expect("a response").result.is_ok());
+
+    setup.daemons[owner].signal(Signal::TERM);
+    assert!(holds_within(Duration::from_secs(1), || !setup.daemons[owner].is_ready()));
+    let mut new = setup.client(other_than(owner), "p0", "new");
+    for round in 0..20 {
+        let written = new.query(&format!("WRITE other v{round}")).expect("a response");
+        assert!(written.result.is_ok(), "{written:?}");
+    }
+    let committed = busy.query("COMMIT").expect("a response");
+
+    assert!(committed.result.is_ok(), "{committed:?}");
+    setup.assert_no_violations();
+}
+
+#[test]
+fn transaction_of_a_killed_daemon_is_rolled_back_at_the_owner() {
+    let (mut setup, owner) = setup_with_owner("hop-abandon");
+    let mut client = setup.client(other_than(owner), "p0", "c1");
+    assert!(client.query("BEGIN").expect("a response").result.is_ok());
+    assert!(client.query("WRITE item gone").expect("a response").result.is_ok());
+
+    setup.daemons[other_than(owner)].kill();
+
+    let mut reader = setup.client(owner, "p0", "c2");
+    assert_eq!(reader.query("READ item").expect("a response").rows, ["-"]);
+    setup.assert_no_violations();
+}
+
+#[test]
+fn malformed_bytes_on_the_forwarding_port_end_only_their_connection() {
+    use std::io::Write;
+    use std::net::{SocketAddr, TcpStream};
+    let (setup, owner) = setup_with_owner("hop-bytes");
+    let peers = setup.daemons[owner].addresses.peers;
+    let forwarding = SocketAddr::new(peers.ip(), peers.port() + 1);
+    let inputs: [&[u8]; 4] =
+        [b"\0\0\0\x04null", b"\xff\xff\xff\xff", b"\0\0\0\x02{}", b"QUERY x READ a\r\n"];
+
+    for input in inputs {
+        let mut stream = TcpStream::connect(forwarding).expect("the port accepts connections");
+        // The daemon may close before everything is written.
+        let _ = stream.write_all(input);
+    }
+
+    let mut client = setup.client(other_than(owner), "p0", "c");
+    assert!(client.query("WRITE item v").expect("a response").result.is_ok());
+    setup.assert_no_violations();
+}
--- a/crates/persimmond/tests/platform.rs
+++ b/crates/persimmond/tests/platform.rs
@@ -2,8 +2,9 @@
 //! instances, which record each violated guarantee. Guards against lost writes, stale reads,
 //! sessions that affect each other, and outages while instances, the store or a daemon fail.
 
+mod fleet;
+
 use std::io;
-use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -11,95 +12,9 @@
     Daemon, InstanceProfile, LineClient, LineCluster, StoreFaults, loopback_peer_addresses,
 };
 use persimmon_lab::process::daemon_program;
-use persimmon_lab::wait_until;
 use rustix::process::Signal;
 
-/// How long a condition may take to hold.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(15);
-
-struct Setup {
-    cluster: LineCluster,
-    daemons: Vec<Daemon>,
-    _folder: TempFolder,
-}
-
-/// A temporary folder that is removed when the test ends.
-struct TempFolder(PathBuf);
-
-impl TempFolder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("persimmon-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).expect("the folder is created");
-        Self(path)
-    }
-}
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        // A folder that cannot be removed does not affect a later test.
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-/// Waits for a condition; returns whether it held within the limit.
-fn holds_within(limit: Duration, condition: impl FnMut() -> bool) -> bool {
-    wait_until(limit, "a condition", condition).is_ok()
-}
-
-fn setup(name: &str, daemons: usize) -> Setup {
-    setup_with(name, daemons, InstanceProfile::default())
-}
-
-fn setup_with(name: &str, count: usize, profile: InstanceProfile) -> Setup {
-    let folder = TempFolder::new(name);
-    let cluster = LineCluster::start(1, 3, profile).expect("the fake platform starts");
-    let mut daemons: Vec<Daemon> = Vec::new();
-    let addresses =
-        loopback_peer_addresses(u16::try_from(count).expect("the number of daemons fits u16"));
-    let seeds = &addresses[..count.min(3)];
-    for (number, peers) in addresses.iter().enumerate() {
-        let name = format!("d{number}");
-        let settings = cluster.settings(&name, *peers, seeds);
-        daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
-    }
-    assert!(
-        holds_within(CONDITION_TIMEOUT, || daemons.iter().all(Daemon::is_ready)),
-        "a daemon is not ready"
-    );
-    Setup { cluster, daemons, _folder: folder }
-}
-
-impl Setup {
-    fn client(&self, daemon: usize, database: &str, name: &str) -> LineClient {
-        let address = self.daemons[daemon].addresses.clients;
-        LineClient::open(address, database, name).expect("the session opens")
-    }
-
-    /// Sends writes on new sessions until one succeeds; returns how long that took.
-    fn time_to_write(&self, daemon: usize, data: &str) -> Duration {
-        let start = Instant::now();
-        let served = holds_within(CONDITION_TIMEOUT, || {
-            let address = self.daemons[daemon].addresses.clients;
-            let Ok(mut client) = LineClient::open(address, "p0", "gap") else {
-                return false;
-            };
-            client.query(&format!("WRITE gap {data}")).is_ok_and(|a| a.result.is_ok())
-        });
-        assert!(served, "no write succeeded");
-        start.elapsed()
-    }
-
-    /// Crashes the primary; its entry stays in the store until `publish_instances` removes it.
-    fn crash_primary(&self) {
-        let (group, instances) = &self.cluster.groups[0];
-        let primary = group.primary().expect("the group has a primary");
-        instances[primary].server.crash();
-    }
-
-    fn assert_no_violations(&self) {
-        assert_eq!(self.cluster.violations(), Vec::<String>::new());
-    }
-}
+use crate::fleet::{CONDITION_TIMEOUT, Setup, TempFolder, holds_within, setup, setup_with};
 
 #[test]
 fn session_reads_its_own_writes_on_every_route() {
@@ -207,6 +122,35 @@
     setup.assert_no_violations();
 }
 
+#[test]
+fn crashed_primary_is_replaced_in_time_whichever_daemon_notices_it() {
+    let setup = setup("crash-noticed", 4);
+    let lock_is_held = || {
+        (0..4).any(|daemon| {
+            setup.has_logged(daemon, |l| l["message"] == "this daemon holds the duty")
+        })
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, lock_is_held));
+
+    for daemon in 0..4 {
+        let roles_are_known = || (0..4).all(|daemon| setup.knows_roles(daemon));
+        assert!(holds_within(CONDITION_TIMEOUT, roles_are_known));
+        setup.time_to_write(daemon, &format!("before{daemon}"));
+        let unavailable = StoreFaults { is_unavailable: true, ..StoreFaults::default() };
+        setup.cluster.store.set_faults(unavailable);
+        setup.crash_primary();
+
+        // Only this daemon has a client, and it need not hold the promotion lock.
+        let gap = setup.time_to_write(daemon, &format!("after{daemon}"));
+
+        // The promotion takes 300 ms; the failover may take at most two seconds more.
+        assert!(gap < Duration::from_millis(2_300), "daemon {daemon}: {gap:?}");
+        setup.cluster.store.set_faults(StoreFaults::default());
+        setup.restart_crashed();
+    }
+    setup.assert_no_violations();
+}
+
 #[test]
 fn primary_is_not_replaced_when_one_daemon_is_paused() {
     let setup = setup("cut-one", 4);
