Compare watchers with each other, and learn the members faster after a start

Ruled out: shorter watches alone (a call every two seconds from each watcher, still two seconds blind).

Change: watchers request the changes from the watchers of other failure domains too; at least six watch in all; a watch waits ten seconds. Members are exchanged every 200 ms until two exchanges bring nothing new, and statements wait for that instead of connecting directly.

--- a/crates/persimmon-ownership/src/forwarding.rs
+++ b/crates/persimmon-ownership/src/forwarding.rs
@@ -4,6 +4,9 @@
 
 use persimmon_balancing::{AttemptFailure, AttemptKind};
 
+/// Candidates that are tried before this daemon connects itself.
+const MAX_HOP_CANDIDATES: usize = 3;
+
 /// How a statement reaches an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -24,7 +27,7 @@
     tried: &[SocketAddr],
     is_usable: impl Fn(SocketAddr) -> bool,
 ) -> Path {
-    for candidate in candidates {
+    for candidate in candidates.iter().take(MAX_HOP_CANDIDATES) {
         if *candidate == own {
             return Path::Direct;
         }
--- a/crates/persimmon-ownership/src/owners.rs
+++ b/crates/persimmon-ownership/src/owners.rs
@@ -15,9 +15,9 @@
 /// as there are failure domains, whatever the size of the fleet.
 const OWNERS_PER_DOMAIN: usize = 1;
 
-/// Members of a failure domain that are tried in turn; the ones after the owner replace it while it
-/// does not answer.
-const CANDIDATES_PER_DOMAIN: usize = 3;
+/// Members of a failure domain that are known as candidates; the ones after the owner replace it
+/// while it does not answer.
+const CANDIDATES_PER_DOMAIN: usize = 6;
 
 /// Smallest number of idle connections to an instance for each daemon at which every daemon
 /// connects directly.
--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -3,6 +3,9 @@
 //! Calls to the store must not grow with the fleet. Two daemons of each failure domain, the
 //! watchers, watch the store; the others receive the changes from them. A daemon whose watchers
 //! fall silent turns to those of other failure domains, and last to the store itself.
+//!
+//! A store that accepts a host's watch and never answers it looks like one without changes. The
+//! watchers therefore also compare with each other what they have received.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +16,17 @@
 /// Members of a failure domain that watch the store.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
+/// Watchers in all failure domains together, at least: a store that turns a third of the hosts away
+/// still answers one of them.
+const MIN_WATCHERS: usize = 6;
+
+/// The watchers among the `candidates` of a failure domain, where there are `other_domains` more.
+#[must_use]
+pub fn watchers(candidates: &[SocketAddr], other_domains: usize) -> &[SocketAddr] {
+    let count = WATCHERS_PER_DOMAIN.max(MIN_WATCHERS.div_ceil(other_domains + 1));
+    &candidates[..candidates.len().min(count)]
+}
+
 /// How long a watcher that did not answer, or does not watch, is passed over.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
 
@@ -76,7 +90,7 @@
         others: &[SocketAddr],
         draw: f64,
     ) -> WatchSource {
-        let watchers = &candidates[..candidates.len().min(WATCHERS_PER_DOMAIN)];
+        let watchers = watchers(candidates, others.len());
         if watchers.contains(&own) || watchers.is_empty() {
             return WatchSource::Store { is_watcher: true };
         }
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, StoreError};
-use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure};
+use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, watchers};
 use persimmon_types::Clock;
 use rand::Rng;
 
@@ -15,10 +17,9 @@
 use crate::directory::max_directory_delay;
 use crate::relay::{FeedState, RelayReply, RelayedKind};
 
-/// How long a watch waits at the store, just below the thirty seconds that a store allows: a
-/// shorter wait costs more calls, and a watch whose revision has left the history also costs a
-/// listing. A store that goes silent is detected by the connection itself.
-const WATCH_WAIT: Duration = Duration::from_secs(29);
+/// How long a watch waits at the store. A shorter wait costs more calls; after a longer one it takes
+/// longer to notice that the store has accepted the watch and never answers.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 
 /// The same for a daemon that only makes up for the watchers, which may answer again meanwhile.
 const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_secs(4);
@@ -26,6 +27,9 @@
 /// The key by which the daemons that watch the store are chosen.
 const WATCHER_KEY: &str = "watchers of the store";
 
+/// Pause between two comparisons with other watchers, which wait for changes themselves.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How often a daemon that has just started checks whether it knows the watchers.
 const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -83,21 +87,66 @@
 }
 
 async fn follow(control: Rc<Control>, kind: ObjectKind, pace: Duration) {
-    let mut follower = Follower {
-        control: &control,
-        kind,
-        pace,
-        sources: SourceChooser::new(),
-        backoff: Backoff::new(kind),
-        revision: None,
-        // The watch that follows delivers what a stale listing misses, unless the history is gone.
-        may_be_stale: true,
-    };
+    ntex::rt::spawn(compare_with_watchers(Rc::clone(&control), kind));
+    let mut follower = Follower::new(&control, kind, pace);
     loop {
         follower.step().await;
     }
 }
 
+/// On a watcher, requests the changes that other watchers have received: the store may have
+/// accepted this daemon's watch without ever answering it.
+async fn compare_with_watchers(control: Rc<Control>, kind: ObjectKind) {
+    let Ok(relayed) = RelayedKind::try_from(kind) else {
+        return;
+    };
+    let mut follower = Follower::new(&control, kind, Duration::ZERO);
+    loop {
+        tokio::time::sleep(COMPARE_INTERVAL).await;
+        let Some(revision) = control.relay.revision(relayed) else {
+            continue;
+        };
+        let mut requests = FuturesUnordered::new();
+        for peer in other_watchers(&control) {
+            let control = Rc::clone(&control);
+            requests
+                .push(async move { control.request_changes(peer, relayed, Some(revision)).await });
+        }
+        while let Some(reply) = requests.next().await {
+            match reply {
+                Ok(RelayReply::Changes(changes)) => {
+                    follower.apply_changes(&Changes::from(changes));
+                }
+                Ok(RelayReply::Listing(listing)) => {
+                    let listing = Listing::from(listing);
+                    if Some(listing.revision) > control.relay.revision(relayed) {
+                        follower.apply_listing(&listing);
+                    }
+                }
+                Ok(RelayReply::NotWatching | RelayReply::StoreDown) => {}
+                Err(err) => tracing::debug!(?kind, error = %err, "another watcher does not answer"),
+            }
+        }
+    }
+}
+
+/// The other watchers that a watcher compares itself with; none on other daemons.
+fn other_watchers(control: &Control) -> Vec<SocketAddr> {
+    if control.peers.daemon_count().is_none() {
+        return Vec::new();
+    }
+    let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
+    let domain = &control.settings.failure_domain;
+    let mut others = ranked.first_elsewhere(domain);
+    let local = watchers(ranked.candidates(domain), others.len());
+    let own = control.settings.peers;
+    if !local.contains(&own) {
+        return Vec::new();
+    }
+    others.extend(local.iter().copied().filter(|peer| *peer != own));
+    others
+}
+
 /// Follows the objects of one kind.
 struct Follower<'a> {
     control: &'a Control,
@@ -111,7 +160,21 @@
     may_be_stale: bool,
 }
 
-impl Follower<'_> {
+impl<'a> Follower<'a> {
+    fn new(control: &'a Control, kind: ObjectKind, pace: Duration) -> Self {
+        Self {
+            control,
+            kind,
+            pace,
+            sources: SourceChooser::new(),
+            backoff: Backoff::new(kind),
+            revision: None,
+            // The watch that follows delivers what a stale listing misses, unless the history is
+            // gone.
+            may_be_stale: true,
+        }
+    }
+
     async fn step(&mut self) {
         let control = self.control;
         if control.peers.daemon_count().is_none() {
@@ -123,13 +186,13 @@
             }
             return;
         }
-        let watchers = control.peers.owners(&Arc::from(WATCHER_KEY));
+        let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
         let domain = &control.settings.failure_domain;
         let source = self.sources.choose(
             Clock.now(),
             control.settings.peers,
-            watchers.candidates(domain),
-            &watchers.first_elsewhere(domain),
+            ranked.candidates(domain),
+            &ranked.first_elsewhere(domain),
             rand::rng().random_range(0.0..1.0),
         );
         match source {
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -14,6 +14,7 @@
 use persimmon_interfaces::{Instance, Table};
 use persimmon_ownership::Member;
 use persimmon_types::Clock;
+use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Json;
@@ -61,14 +62,17 @@
 /// Capacity of the queue of probes that peers requested.
 const PROBE_QUEUE: usize = 16;
 
-/// Number of exchanges of members after the start. Each peer names all that it knows, so a few
-/// exchanges discover most daemons.
-const INITIAL_EXCHANGES: u32 = 5;
+/// Number of exchanges without a new member after which the members count as known. Daemons that
+/// start together contact the seeds within this many intervals.
+const UNCHANGED_EXCHANGES: u32 = 2;
 
-/// Interval between them, longer than the spread of the starts of a fleet.
-const INITIAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Mean interval between exchanges until then.
+const DISCOVERY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Rounds of [`FETCH_INTERVAL`] between two exchanges after that.
+/// How long members are discovered at most: a client that opens a session waits nearly as long.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Rounds of [`FETCH_INTERVAL`] between two exchanges of members.
 const EXCHANGE_INTERVAL_ROUNDS: u32 = 30;
 
 /// State of this daemon that is served to peers, shared with the tasks that answer them.
@@ -238,6 +242,7 @@
 
 /// Exchanges members, and fetches the state of peers while the store does not answer.
 pub(crate) async fn exchange_with_peers(control: Rc<Control>) {
+    ntex::rt::spawn(discover_members(Rc::clone(&control)));
     let mut rounds: u32 = 0;
     loop {
         let is_reachable = control.is_store_reachable() && control.has_directory.get();
@@ -245,26 +250,41 @@
         if !is_reachable && (!has_state || rounds.is_multiple_of(REFRESH_ROUNDS)) {
             fetch_from_peers(&control).await;
         }
-        let is_starting = rounds < INITIAL_EXCHANGES;
-        if is_starting || rounds.is_multiple_of(EXCHANGE_INTERVAL_ROUNDS) {
-            exchange_members(&control, is_starting).await;
-        }
         rounds = rounds.wrapping_add(1);
-        if rounds == INITIAL_EXCHANGES {
-            control.peers.mark_settled();
-            tracing::info!(daemons = control.peers.daemon_count(), "members were exchanged");
+        if rounds.is_multiple_of(EXCHANGE_INTERVAL_ROUNDS) {
+            exchange_members(&control, false).await;
         }
-        tokio::time::sleep(if is_starting { INITIAL_INTERVAL } else { FETCH_INTERVAL }).await;
+        tokio::time::sleep(FETCH_INTERVAL).await;
     }
 }
 
+/// Exchanges members after the start until an exchange brings no new ones.
+async fn discover_members(control: Rc<Control>) {
+    let began = Clock.now();
+    let mut unchanged = 0;
+    while unchanged < UNCHANGED_EXCHANGES && Clock.now().since(began) < DISCOVERY_TIMEOUT {
+        if control.peers.all().is_empty() {
+            break;
+        }
+        let before = control.peers.fingerprint();
+        let has_answered = exchange_members(&control, true).await;
+        let is_unchanged = has_answered && before == control.peers.fingerprint();
+        unchanged = if is_unchanged { unchanged + 1 } else { 0 };
+        let pause = DISCOVERY_INTERVAL.mul_f64(rand::rng().random_range(0.75..1.25));
+        tokio::time::sleep(pause).await;
+    }
+    control.peers.mark_settled();
+    let ms = u64::try_from(Clock.now().since(began).as_millis()).unwrap_or(u64::MAX);
+    tracing::info!(daemons = control.peers.daemon_count(), ms, "members were exchanged");
+}
+
 /// Exchanges members with one peer. While a daemon starts, seeds are preferred: all daemons contact
-/// them first, so they know most.
-async fn exchange_members(control: &Control, prefers_seed: bool) {
+/// them first, so they know most. Returns whether the peer answered.
+async fn exchange_members(control: &Control, prefers_seed: bool) -> bool {
     let mut rng = rand::rng();
     let seed = control.peers.seeds().choose(&mut rng).copied().filter(|_| prefers_seed);
     let Some(peer) = seed.or_else(|| control.peers.all().choose(&mut rng).copied()) else {
-        return;
+        return false;
     };
     let own = WireMember::from(control.peers.own());
     let call = async {
@@ -273,8 +293,14 @@
         Ok::<_, PeerError>(client.meet(context::current(), own, members).await?)
     };
     match tokio::time::timeout(PEER_CALL_TIMEOUT, call).await {
-        Ok(Ok(introduction)) => merge_introduction(control, introduction),
-        Ok(Err(_)) | Err(_) => forget(control, peer),
+        Ok(Ok(introduction)) => {
+            merge_introduction(control, introduction);
+            true
+        }
+        Ok(Err(_)) | Err(_) => {
+            forget(control, peer);
+            false
+        }
     }
 }
 
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -33,6 +33,9 @@
 use crate::traffic::Worker;
 use crate::transaction::{OpenTransaction, TransactionStep};
 
+/// Longest time that a statement waits for the members to be known after the start.
+const MAX_SETTLE_WAIT: Duration = Duration::from_millis(800);
+
 /// Shortest time before a statement's deadline at which another path is tried.
 const MIN_HOP_TIME: Duration = Duration::from_millis(25);
 
@@ -43,6 +46,11 @@
         job: &StatementJob<'_>,
         mode: ExecutionMode,
     ) -> Execution {
+        if self.settings.forwarding.is_some() {
+            // A fleet that starts together would otherwise connect to every instance.
+            let limit = MAX_SETTLE_WAIT.min(job.deadline.since(Clock.now()) / 2);
+            self.peers.wait_until_settled(limit).await;
+        }
         let mut tried = Vec::new();
         let mut was_lost = false;
         loop {
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use persimmon_ownership::{Member, MemberList, OwnerTable, ServiceOwners, needs_owners};
 use persimmon_types::Clock;
+use tokio::sync::Notify;
 
 #[derive(Debug, Default)]
 struct Peers {
@@ -21,6 +23,7 @@
     peers: Mutex<Peers>,
     /// Whether enough peer lists were exchanged to estimate the number of daemons.
     is_settled: AtomicBool,
+    settled: Notify,
 }
 
 impl PeerList {
@@ -28,7 +31,13 @@
     #[must_use]
     pub fn new(own: Member, seeds: &[SocketAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.address).collect();
-        Self { own, seeds, peers: Mutex::default(), is_settled: AtomicBool::new(false) }
+        Self {
+            own,
+            seeds,
+            peers: Mutex::default(),
+            is_settled: AtomicBool::new(false),
+            settled: Notify::new(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Peers> {
@@ -68,14 +77,24 @@
 
     /// Records that enough peer lists were exchanged.
     pub fn mark_settled(&self) {
-        self.is_settled.store(true, Ordering::Relaxed);
+        self.is_settled.store(true, Ordering::Release);
+        self.settled.notify_waiters();
+    }
+
+    /// Waits until the number of daemons is known, at most for `limit`.
+    pub(crate) async fn wait_until_settled(&self, limit: Duration) {
+        let settled = self.settled.notified();
+        if self.daemon_count().is_none() {
+            // The caller continues without the number after a timeout.
+            let _ = tokio::time::timeout(limit, settled).await;
+        }
     }
 
     /// Number of daemons, including this one. `None` until it is known: a daemon that has just
     /// started knows only the seeds, and all may have started together.
     #[must_use]
     pub fn daemon_count(&self) -> Option<usize> {
-        self.is_settled.load(Ordering::Relaxed).then(|| self.lock().members.len() + 1)
+        self.is_settled.load(Ordering::Acquire).then(|| self.lock().members.len() + 1)
     }
 
     /// Number of daemons that share the connections of a service's instances; `None` until it is
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// The revision up to which this daemon has received changes; `None` before the first listing.
+    pub(crate) fn revision(&self, kind: RelayedKind) -> Option<u64> {
+        Some(self.feed(kind).revision).filter(|revision| *revision > 0)
+    }
+
     /// Replaces all objects of a kind.
     pub(crate) fn apply_listing(&self, kind: RelayedKind, listing: &Listing) {
         let mut feed = self.feed(kind);
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons as separate processes against a fake platform, for the tests of the line protocol.
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -63,14 +64,22 @@
 
 /// Starts daemons in front of a fake platform.
 pub fn setup_on(name: &str, count: usize, cluster: LineCluster) -> Setup {
+    let stores = vec![cluster.store_proxy.address; count];
+    setup_with_stores(name, cluster, stores)
+}
+
+/// Starts daemons in front of a fake platform; each reaches the store at an address of its own.
+pub fn setup_with_stores(name: &str, cluster: LineCluster, stores: Vec<SocketAddr>) -> Setup {
+    let count = stores.len();
     let folder = TempFolder::new(name);
     let mut daemons: Vec<Daemon> = Vec::new();
     let addresses =
         loopback_peer_addresses(u16::try_from(count).expect("the number of daemons fits u16"));
     let seeds = &addresses[..count.min(3)];
-    for (number, peers) in addresses.iter().enumerate() {
+    let common = cluster.store_proxy.address.to_string();
+    for (number, (peers, store)) in addresses.iter().zip(stores).enumerate() {
         let name = format!("d{number}");
-        let settings = cluster.settings(&name, *peers, seeds);
+        let settings = cluster.settings(&name, *peers, seeds).replace(&common, &store.to_string());
         daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
     }
     assert!(
--- a/crates/persimmond/tests/forwarding.rs
+++ b/crates/persimmond/tests/forwarding.rs
@@ -229,3 +229,34 @@
     assert!(client.query("WRITE item v").expect("a response").result.is_ok());
     setup.assert_no_violations();
 }
+
+#[test]
+fn table_reaches_all_daemons_while_the_store_is_silent_to_a_third_of_them() {
+    use persimmon_lab::fault_proxy::FaultProxy;
+    const COUNT: usize = 8;
+    let cluster =
+        LineCluster::start(1, 3, InstanceProfile::default()).expect("the fake platform starts");
+    let proxies: Vec<FaultProxy> = (0..COUNT)
+        .map(|_| FaultProxy::start(cluster.store.address).expect("the proxy starts"))
+        .collect();
+    let stores = proxies.iter().map(|proxy| proxy.address).collect();
+    let setup = fleet::setup_with_stores("watch-silent", cluster, stores);
+    let have_members =
+        |daemon| setup.has_logged(daemon, |line| line["message"] == "members were exchanged");
+    assert!(holds_within(CONDITION_TIMEOUT, || (0..COUNT).all(have_members)));
+
+    // The store accepts the calls of these hosts, and answers none of them.
+    for proxy in proxies.iter().take(COUNT / 3) {
+        proxy.stall_responses(true);
+    }
+    setup.cluster.put_table(5, &["fresh"]);
+
+    let is_active = |daemon| {
+        setup
+            .has_logged(daemon, |line| line["message"] == "table activated" && line["version"] == 5)
+    };
+    // A change must be active within three seconds on the smallest deployment.
+    let is_active_everywhere = || (0..COUNT).all(is_active);
+    assert!(holds_within(Duration::from_secs(3), is_active_everywhere));
+    setup.assert_no_violations();
+}
