Let owners limit their statements in flight, and open connections by their share

Cause: an owner admitted work beyond its share by chance, as one of hundreds of daemons must. On a congested instance an owner could not open a second connection.

Change: a daemon whose share is half of a slot or more admits new work while its statements in flight are below a limit that follows the wait; refused callers are told different times. Connections to a congested instance are bounded by twice the share of the slots.

--- a/crates/persimmon-balancing/src/admission.rs
+++ b/crates/persimmon-balancing/src/admission.rs
@@ -10,6 +10,10 @@
 //! a probability that falls as the observed queueing wait rises: each daemon's estimate is noisy,
 //! but the sum over the fleet is not. Short work has a better chance, because it delays other work
 //! least. Statements of open transactions are never throttled; they are charged to the share.
+//!
+//! A daemon with a large share, such as the owner of a service that sends the work of all others,
+//! observes the wait soon and in large samples. It limits its statements in flight instead: the
+//! limit falls while they wait for longer than the target, and rises otherwise.
 
 use std::time::Duration;
 
@@ -65,6 +69,23 @@
 /// Work of this priority value or above yields to more important work (lower values).
 const NORMAL_PRIORITY: u8 = 2;
 
+/// Share above which a daemon limits its statements in flight: half of a slot. A smaller share is
+/// less than one statement at a time.
+const LARGE_SHARE_MS_PER_S: f64 = 500.0;
+
+/// Lowest limit of statements in flight, so that a recovery of the instance is noticed.
+const MIN_IN_FLIGHT: f64 = 0.8;
+
+/// Highest limit of statements in flight, the length of an instance's queue.
+const MAX_IN_FLIGHT: f64 = 40.0;
+
+/// How fast the limit of statements in flight follows the wait, per second, as for
+/// [`DECREASE_RATE`]: few daemons follow it, and each observes much of the load.
+const IN_FLIGHT_RATE: f64 = 2.0;
+
+/// Factor of the limit for important work.
+const IMPORTANT_WORK_FACTOR: f64 = 1.5;
+
 /// Shortest time after which throttled work may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -94,6 +115,8 @@
     share_ms_per_s: f64,
     /// Slot time that is left of the share; negative after work that cost more.
     budget_ms: f64,
+    /// Statements in flight up to which a daemon with a large share admits new work.
+    in_flight_limit: f64,
     /// Time up to which decay and refill have been applied.
     advanced_at: Time,
 }
@@ -114,6 +137,7 @@
             average_cost_ms: INITIAL_COST_MS,
             share_ms_per_s: 0.0,
             budget_ms: 0.0,
+            in_flight_limit: MAX_IN_FLIGHT,
             advanced_at: Time::ZERO,
         }
     }
@@ -138,9 +162,20 @@
     }
 
     /// Decides whether new work may be sent. `cost_ms` is its expected slot time, a lower
-    /// `priority` is more important, and `draw` is a random number from 0 to 1.
-    pub fn admit(&mut self, now: Time, cost_ms: f64, priority: u8, draw: f64) -> Admission {
+    /// `priority` is more important, `in_flight` is the number of this daemon's statements at the
+    /// instance, and `draw` is a random number from 0 to 1.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        cost_ms: f64,
+        priority: u8,
+        in_flight: u32,
+        draw: f64,
+    ) -> Admission {
         self.advance(now);
+        if self.share_ms_per_s >= LARGE_SHARE_MS_PER_S {
+            return self.admit_by_in_flight(priority, in_flight, draw);
+        }
         if !self.is_throttling() || self.budget_ms > 0.0 {
             return Admission::Admitted;
         }
@@ -156,6 +191,16 @@
         Admission::RetryAfter(refill_time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 
+    /// Admits new work while few statements are in flight. A fractional limit is met on average.
+    fn admit_by_in_flight(&self, priority: u8, in_flight: u32, draw: f64) -> Admission {
+        let factor = if priority < NORMAL_PRIORITY { IMPORTANT_WORK_FACTOR } else { 1.0 };
+        if f64::from(in_flight) + draw < self.in_flight_limit * factor {
+            return Admission::Admitted;
+        }
+        let spread = MAX_RETRY_AFTER.saturating_sub(MIN_RETRY_AFTER) / 2;
+        Admission::RetryAfter(MIN_RETRY_AFTER + spread.mul_f64(draw))
+    }
+
     /// Records that work with an expected slot time of `cost_ms` was sent.
     pub fn record_sent(&mut self, now: Time, cost_ms: f64) {
         self.advance(now);
@@ -193,6 +238,11 @@
         self.admitted_fraction =
             (self.admitted_fraction * (-step).exp()).clamp(MIN_ADMITTED_FRACTION, 1.0);
 
+        let deviation = deviation.clamp(-MAX_LOG_DEVIATION, MAX_LOG_DEVIATION);
+        let step = deviation * IN_FLIGHT_RATE * elapsed_s;
+        self.in_flight_limit =
+            (self.in_flight_limit * (-step).exp()).clamp(MIN_IN_FLIGHT, MAX_IN_FLIGHT);
+
         self.budget_ms = (self.budget_ms + self.share_ms_per_s * elapsed_s)
             .min(self.share_ms_per_s * MAX_BURST.as_secs_f64());
     }
--- a/crates/persimmon-balancing/src/handshakes.rs
+++ b/crates/persimmon-balancing/src/handshakes.rs
@@ -84,18 +84,29 @@
         self.checked_out + self.opening == 0
     }
 
-    /// Whether one more connection may be opened to an instance that accepts `max_connections` from
-    /// all daemons together.
+    /// Whether one more connection may be opened to an instance.
     ///
-    /// On a congested instance a second connection only lengthens the queue, and its handshake
-    /// takes a slot from a statement. One daemon uses at most half of the limit, so that it cannot
-    /// take the connections of all others.
+    /// On a congested instance, connections beyond twice the daemon's share of the slots only
+    /// lengthen the queue, and their handshakes take slots from statements. One daemon uses at most
+    /// half of the connection limit, so that it cannot take the connections of all others.
     #[must_use]
-    pub fn may_open(&self, max_connections: usize, is_congested: bool) -> bool {
-        let is_within_limit = self.checked_out + self.opening < (max_connections / 2).max(1);
+    pub fn may_open(&self, limits: ConnectionLimits, is_congested: bool) -> bool {
+        let is_within_limit = self.checked_out + self.opening < (limits.max_connections / 2).max(1);
         let busy = self.checked_out.saturating_sub(self.pinned) + self.opening;
+        let share = (limits.slots * 2 / limits.sharers.max(1)).max(1);
         self.opening < MAX_CONCURRENT_PER_INSTANCE
             && is_within_limit
-            && (busy == 0 || !is_congested)
+            && (busy < share || !is_congested)
     }
 }
+
+/// What an instance offers to all daemons together.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Connections that it accepts.
+    pub max_connections: usize,
+    /// Statements that it runs concurrently.
+    pub slots: usize,
+    /// Daemons that share them.
+    pub sharers: usize,
+}
--- a/crates/persimmon-balancing/src/idle_connections.rs
+++ b/crates/persimmon-balancing/src/idle_connections.rs
@@ -10,7 +10,7 @@
 use persimmon_types::Time;
 
 /// Upper bound of the idle connections kept to one instance.
-const MAX_IDLE: usize = 8;
+const MAX_IDLE: usize = 16;
 
 /// How long an instance counts as short of connections after a refusal.
 const SCARCITY_PERIOD: Duration = Duration::from_secs(10);
--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use admission::{Admission, AdmissionController};
 pub use freshness::{PositionSample, PositionSamples};
-pub use handshakes::{ConnectionCounts, HandshakeLimiter};
+pub use handshakes::{ConnectionCounts, ConnectionLimits, HandshakeLimiter};
 pub use idle_connections::IdleConnectionPolicy;
 pub use latency::LatencyBaseline;
 pub use retry::{AttemptFailure, AttemptKind, RetryDecision, after_failure, final_error_code};
--- a/crates/persimmon-ownership/src/owners.rs
+++ b/crates/persimmon-ownership/src/owners.rs
@@ -19,15 +19,16 @@
 /// while it does not answer.
 const CANDIDATES_PER_DOMAIN: usize = 6;
 
-/// Smallest number of idle connections to an instance for each daemon at which every daemon
-/// connects directly.
-const MIN_DIRECT_SHARE: usize = 2;
+/// Largest fleet that connects directly with a single idle connection for each daemon. Each daemon
+/// still sees enough of an instance's load to limit its own, and saves the hop.
+const SMALL_FLEET: usize = 30;
 
 /// Whether a service needs owners: whether half of the connections that an instance accepts give
 /// each daemon fewer than it needs.
 #[must_use]
 pub fn needs_owners(max_connections: u32, daemons: usize) -> bool {
-    max_connections as usize / 2 / daemons.max(1) < MIN_DIRECT_SHARE
+    let min_share = if daemons <= SMALL_FLEET { 1 } else { 2 };
+    max_connections as usize / 2 / daemons.max(1) < min_share
 }
 
 /// The owners of one service.
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -133,9 +133,11 @@
         let service = &job.route.service;
         let daemons = self.peers.sharer_count(service, self.max_connections(service));
         let baseline_ms = self.latency_baseline(job).ms();
+        let in_flight = self.pool.load(&instance.id, |load| load.in_flight);
         self.pool.admission(&instance.id, |controller| {
             controller.set_share(instance.slots, daemons);
-            let admission = controller.admit(Clock.now(), baseline_ms, job.route.priority, draw);
+            let priority = job.route.priority;
+            let admission = controller.admit(Clock.now(), baseline_ms, priority, in_flight, draw);
             if admission != Admission::Admitted {
                 execution.congestion_ms = Some(controller.wait_ms());
             }
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use persimmon_balancing::{
-    AdmissionController, ConnectionCounts, HandshakeLimiter, IdleConnectionPolicy, InstanceLoad,
+    AdmissionController, ConnectionCounts, ConnectionLimits, HandshakeLimiter,
+    IdleConnectionPolicy, InstanceLoad,
 };
 use persimmon_interfaces::{ErrorCode, Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
@@ -220,7 +221,13 @@
         let sharers = self.peers.sharer_count(&instance.service, max_connections);
         let max_connections = max_connections as usize;
         entry.idle_policy.set_share(max_connections, sharers);
-        let may_open = entry.counts.may_open(max_connections, entry.admission.is_throttling())
+        let limits = ConnectionLimits {
+            max_connections,
+            slots: instance.slots as usize,
+            // An unknown number may be large, so that the share is the lowest.
+            sharers: sharers.unwrap_or(usize::MAX),
+        };
+        let may_open = entry.counts.may_open(limits, entry.admission.is_throttling())
             && now >= entry.refused_until;
         if may_open {
             entry.counts.opening += 1;
