Serve at once after a start, and poll watchers while the store is silent

Ruled out: shorter exchanges (a seed that restarts too answers late). Change: a daemon connects itself until it has met enough others to know that the service needs owners, and then uses them at once. A daemon that makes up for its watchers asks the store for 0.3 s at a time, so that a silent store does not keep it from the watchers. Held transactions count as work of an owner that shuts down; explain follows a request to the owner.

--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -37,6 +37,9 @@
 /// answer. A store that turns single hosts away may still serve this one.
 const MIN_OWN_CALL_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The same while no watcher answers: this daemon may be the only one with a path to the store.
+const MIN_ISOLATED_CALL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Pause before the watchers are tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -100,12 +103,14 @@
                 return WatchSource::Watcher(*watcher);
             }
         }
-        let is_store_down = self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
-        if is_store_down && now < self.own_call_at {
+        if now < self.own_call_at {
             return WatchSource::Pause(RETRY_DELAY);
         }
+        let is_store_down = self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
+        let interval =
+            if is_store_down { MIN_OWN_CALL_INTERVAL } else { MIN_ISOLATED_CALL_INTERVAL };
         // Jitter, so that the daemons do not call the store together.
-        self.own_call_at = now + MIN_OWN_CALL_INTERVAL.mul_f64(1.0 + draw);
+        self.own_call_at = now + interval.mul_f64(1.0 + draw);
         WatchSource::Store { is_watcher: false }
     }
 
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -21,8 +21,9 @@
 /// longer to notice that the store has accepted the watch and never answers.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// The same for a daemon that only makes up for the watchers, which may answer again meanwhile.
-const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_secs(4);
+/// The same for a daemon that only makes up for the watchers: the store may be silent to it, and the
+/// watchers may answer again meanwhile.
+const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_millis(300);
 
 /// The key by which the daemons that watch the store are chosen.
 const WATCHER_KEY: &str = "watchers of the store";
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -20,7 +20,7 @@
 use futures::future::LocalBoxFuture;
 use persimmon_balancing::{AttemptFailure, RetryDecision, after_failure};
 use persimmon_interfaces::ErrorCode;
-use persimmon_ownership::{HopFailure, Path, ServiceOwners, after_hop, choose_path, needs_owners};
+use persimmon_ownership::{HopFailure, Path, ServiceOwners, after_hop, choose_path};
 use persimmon_types::Clock;
 
 pub(crate) use crate::forwarding::link::Links;
@@ -33,9 +33,6 @@
 use crate::traffic::Worker;
 use crate::transaction::{OpenTransaction, TransactionStep};
 
-/// Longest time that a statement waits for the members to be known after the start.
-const MAX_SETTLE_WAIT: Duration = Duration::from_millis(800);
-
 /// Shortest time before a statement's deadline at which another path is tried.
 const MIN_HOP_TIME: Duration = Duration::from_millis(25);
 
@@ -46,11 +43,6 @@
         job: &StatementJob<'_>,
         mode: ExecutionMode,
     ) -> Execution {
-        if self.settings.forwarding.is_some() {
-            // A fleet that starts together would otherwise connect to every instance.
-            let limit = MAX_SETTLE_WAIT.min(job.deadline.since(Clock.now()) / 2);
-            self.peers.wait_until_settled(limit).await;
-        }
         let mut tried = Vec::new();
         let mut was_lost = false;
         loop {
@@ -94,9 +86,7 @@
     /// The owners of a service; `None` if every daemon connects to its instances.
     fn owners(&self, service: &Arc<str>) -> Option<Arc<ServiceOwners>> {
         self.settings.forwarding?;
-        let daemons = self.peers.daemon_count()?;
-        let is_needed = needs_owners(self.max_connections(service), daemons);
-        is_needed.then(|| self.peers.owners(service))
+        self.peers.needed_owners(service, self.max_connections(service))
     }
 
     /// Whether this daemon has a share of the connections to a service's instances.
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -49,6 +50,7 @@
     /// `None` while a statement runs in it.
     transaction: Option<Box<dyn OpenTransaction>>,
     used_at: Time,
+    _counted: HeldGuard,
 }
 
 /// Number of statements and transactions that a daemon holds for others.
@@ -62,10 +64,10 @@
     }
 }
 
-/// Counts a running statement until dropped.
-struct RunningGuard(Rc<Worker>);
+/// Counts a running statement or an open transaction until dropped.
+struct HeldGuard(Rc<Worker>);
 
-impl RunningGuard {
+impl HeldGuard {
     fn new(worker: &Rc<Worker>) -> Self {
         let count = &worker.held.0;
         count.set(count.get() + 1);
@@ -73,7 +75,7 @@
     }
 }
 
-impl Drop for RunningGuard {
+impl Drop for HeldGuard {
     fn drop(&mut self) {
         let count = &self.0.held.0;
         count.set(count.get().saturating_sub(1));
@@ -95,7 +97,11 @@
             transaction.rollback();
             return;
         }
-        let held = Held { transaction: Some(transaction), used_at: Clock.now() };
+        let held = Held {
+            transaction: Some(transaction),
+            used_at: Clock.now(),
+            _counted: HeldGuard::new(&self.worker),
+        };
         if let Some(Held { transaction: Some(before), .. }) =
             self.transactions.borrow_mut().insert(number, held)
         {
@@ -136,6 +142,7 @@
             return Err(Refusal::UnknownTransaction);
         };
         let received = ReceivedStatement::from(request.statement);
+        let instance = Arc::clone(transaction.instance());
         let step = transaction.execute(&received.job(), request.has_written).await;
         let is_open = step.result.as_ref().is_ok_and(|a| a.status != TxStatus::Idle);
         let was_dropped = !self.transactions.borrow().contains_key(&number);
@@ -146,7 +153,8 @@
             transaction.rollback();
         }
         if step.result.is_err() {
-            tracing::info!(id = %received.id(), caller = %self.caller, instance = "held",
+            tracing::info!(id = %received.id(), caller = %self.caller,
+                service = %received.route.service, %instance,
                 failure = ?step.result.as_ref().err(), "forwarded statement in a transaction");
         }
         Ok(ContinueReply::from(step))
@@ -207,7 +215,7 @@
         Metrics::increment(&self.worker.metrics.statements_for_peers);
         let (tx, rx) = oneshot::channel();
         ntex::rt::spawn(async move {
-            let _running = RunningGuard::new(&self.worker);
+            let _running = HeldGuard::new(&self.worker);
             // The caller may have stopped waiting; it then rolls the transaction back.
             let _ = tx.send(self.run(request).await);
         });
@@ -221,7 +229,7 @@
     ) -> Result<ContinueReply, Refusal> {
         let (tx, rx) = oneshot::channel();
         ntex::rt::spawn(async move {
-            let _running = RunningGuard::new(&self.worker);
+            let _running = HeldGuard::new(&self.worker);
             // The caller may have stopped waiting.
             let _ = tx.send(self.run_in_transaction(request).await);
         });
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -3,11 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use persimmon_ownership::{Member, MemberList, OwnerTable, ServiceOwners, needs_owners};
 use persimmon_types::Clock;
-use tokio::sync::Notify;
 
 #[derive(Debug, Default)]
 struct Peers {
@@ -23,7 +21,6 @@
     peers: Mutex<Peers>,
     /// Whether enough peer lists were exchanged to estimate the number of daemons.
     is_settled: AtomicBool,
-    settled: Notify,
 }
 
 impl PeerList {
@@ -31,13 +28,7 @@
     #[must_use]
     pub fn new(own: Member, seeds: &[SocketAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.address).collect();
-        Self {
-            own,
-            seeds,
-            peers: Mutex::default(),
-            is_settled: AtomicBool::new(false),
-            settled: Notify::new(),
-        }
+        Self { own, seeds, peers: Mutex::default(), is_settled: AtomicBool::new(false) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Peers> {
@@ -77,35 +68,37 @@
 
     /// Records that enough peer lists were exchanged.
     pub fn mark_settled(&self) {
-        self.is_settled.store(true, Ordering::Release);
-        self.settled.notify_waiters();
-    }
-
-    /// Waits until the number of daemons is known, at most for `limit`.
-    pub(crate) async fn wait_until_settled(&self, limit: Duration) {
-        let settled = self.settled.notified();
-        if self.daemon_count().is_none() {
-            // The caller continues without the number after a timeout.
-            let _ = tokio::time::timeout(limit, settled).await;
-        }
+        self.is_settled.store(true, Ordering::Relaxed);
     }
 
     /// Number of daemons, including this one. `None` until it is known: a daemon that has just
     /// started knows only the seeds, and all may have started together.
     #[must_use]
     pub fn daemon_count(&self) -> Option<usize> {
-        self.is_settled.load(Ordering::Acquire).then(|| self.lock().members.len() + 1)
+        self.is_settled.load(Ordering::Relaxed).then(|| self.lock().members.len() + 1)
+    }
+
+    /// The owners of a service whose instances accept `max_connections`; `None` if every daemon
+    /// connects to them, as far as is known.
+    ///
+    /// A daemon that has just started may know only a part of the fleet. It then connects itself
+    /// for the moment until it has met another daemon, instead of making clients wait.
+    #[must_use]
+    pub fn needed_owners(
+        &self,
+        service: &Arc<str>,
+        max_connections: u32,
+    ) -> Option<Arc<ServiceOwners>> {
+        let known = self.lock().members.len() + 1;
+        needs_owners(max_connections, known).then(|| self.owners(service))
     }
 
     /// Number of daemons that share the connections of a service's instances; `None` until it is
     /// known.
     #[must_use]
     pub fn sharer_count(&self, service: &Arc<str>, max_connections: u32) -> Option<usize> {
-        let daemons = self.daemon_count()?;
-        if !needs_owners(max_connections, daemons) {
-            return Some(daemons);
-        }
-        Some(self.owners(service).count())
+        let owners = self.needed_owners(service, max_connections);
+        owners.map_or_else(|| self.daemon_count(), |owners| Some(owners.count()))
     }
 
     /// Addresses of all known peers.
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -19,6 +19,9 @@
 /// lines that daemons write on the users' platform.
 const FLEET_MESSAGES: [&str; 2] = ["a promotion was ordered", "this daemon holds the duty"];
 
+/// Log messages of single statements, of which only those of the request itself are printed.
+const REQUEST_MESSAGES: [&str; 2] = ["request", "forwarded statement"];
+
 /// One JSON line of a log.
 struct LogLine {
     /// The file's path, and the word before the JSON object, such as a host's name.
@@ -54,7 +57,9 @@
         }
         let is_related =
             self.shares_field(request, "instance") || self.shares_field(request, "service");
-        let is_same_daemon = self.source == request.source && self.fields["message"] != "request";
+        let is_request = |m: &&str| self.fields["message"].as_str() == Some(*m);
+        let is_same_daemon =
+            self.source == request.source && !REQUEST_MESSAGES.iter().any(|m| is_request(&m));
         let is_fleet_event =
             FLEET_MESSAGES.iter().any(|message| self.fields["message"].as_str() == Some(message));
         (is_related && is_same_daemon && self.is_within(SAME_DAEMON_WINDOW, request))
--- a/crates/persimmonctl/tests/explain.rs
+++ b/crates/persimmonctl/tests/explain.rs
@@ -11,6 +11,9 @@
 "#;
 
 const OTHER_DAEMON_LOG: &str = r#"   0.7 front-2 {"timestamp":"2026-03-01T09:59:59.000000Z","message":"a promotion was ordered","service":"svc","candidate":"i-2","token":4}
+   1.7 front-2 {"timestamp":"2026-03-01T10:00:00.700000Z","message":"connecting to an instance failed","service":"svc","instance":"i-1","error":"refused"}
+   1.8 front-2 {"timestamp":"2026-03-01T10:00:00.800000Z","message":"forwarded statement","id":"r9","service":"svc","instance":"i-1"}
+   1.9 front-2 {"timestamp":"2026-03-01T10:00:00.900000Z","message":"forwarded statement","id":"r1","service":"svc","instance":"i-1","caller":"10.0.0.1:7440"}
 "#;
 
 fn explain(name: &str, id: &str) -> Output {
@@ -42,6 +45,16 @@
     assert!(!text.contains("i-9") && !text.contains("r2"), "{text}");
 }
 
+#[test]
+fn explain_follows_a_request_to_the_daemon_that_ran_it() {
+    let output = explain("forwarded", "r1");
+
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.contains("10.0.0.1:7440"), "{text}");
+    assert!(text.contains("connecting to an instance failed"), "{text}");
+    assert!(!text.contains("r9"), "{text}");
+}
+
 #[test]
 fn explain_fails_if_no_log_contains_the_request_id() {
     let output = explain("missing", "nobody");
