Ask the store when no watcher of the failure domain answers; none in small fleets

Ruled out: silent watchers (they compared and had the new table). Change: after the watchers of its own failure domain a daemon asks the store before those of other domains; a watcher has 1.1 s. Fleets of at most thirty daemons watch the store themselves, as before.

--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -13,6 +13,16 @@
 
 use persimmon_types::Time;
 
+/// Largest fleet in which every daemon watches the store.
+const MAX_DIRECT_FLEET: usize = 30;
+
+/// Whether a fleet needs watchers: in a small one, they would save fewer calls than it costs to be
+/// without the store's changes while they fail.
+#[must_use]
+pub fn needs_watchers(daemons: usize) -> bool {
+    daemons > MAX_DIRECT_FLEET
+}
+
 /// Members of a failure domain that watch the store.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
@@ -38,7 +48,7 @@
 const MIN_OWN_CALL_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The same while no watcher answers: this daemon may be the only one with a path to the store.
-const MIN_ISOLATED_CALL_INTERVAL: Duration = Duration::from_millis(500);
+const MIN_ISOLATED_CALL_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Pause before the watchers are tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -98,10 +108,19 @@
             return WatchSource::Store { is_watcher: true };
         }
         self.failed.retain(|_, (until, _)| now < *until);
-        for watcher in watchers.iter().chain(others) {
-            if !self.failed.contains_key(watcher) {
-                return WatchSource::Watcher(*watcher);
-            }
+        let is_available = |peer: &&SocketAddr| !self.failed.contains_key(peer);
+        if let Some(watcher) = watchers.iter().find(is_available) {
+            return WatchSource::Watcher(*watcher);
+        }
+        // A daemon that reaches no watcher of its failure domain may be parted from all of them, but
+        // not from the store; trying all others first would take too long.
+        let is_unreachable = |peer: &SocketAddr| {
+            self.failed.get(peer).is_some_and(|(_, f)| *f == WatcherFailure::Unreachable)
+        };
+        let other = others.iter().find(is_available).copied();
+        let asks_others_first = !watchers.iter().any(is_unreachable) || now < self.own_call_at;
+        if let Some(other) = other.filter(|_| asks_others_first) {
+            return WatchSource::Watcher(other);
         }
         if now < self.own_call_at {
             return WatchSource::Pause(RETRY_DELAY);
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -9,7 +9,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, StoreError};
-use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, watchers};
+use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
 use persimmon_types::Clock;
 use rand::Rng;
 
@@ -17,7 +17,12 @@
 use crate::directory::max_directory_delay;
 use crate::relay::{FeedState, RelayReply, RelayedKind};
 
-/// How long a watch waits at the store. A shorter wait costs more calls; after a longer one it takes
+/// How long a watch waits at the store, just below the thirty seconds that a store allows: a
+/// shorter wait costs more calls, and a watch whose revision has left the history also costs a
+/// listing.
+const DIRECT_WATCH_WAIT: Duration = Duration::from_secs(29);
+
+/// The same on a daemon on which others rely. A shorter wait costs more calls; after a longer one it takes
 /// longer to notice that the store has accepted the watch and never answers.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
@@ -133,7 +138,7 @@
 
 /// The other watchers that a watcher compares itself with; none on other daemons.
 fn other_watchers(control: &Control) -> Vec<SocketAddr> {
-    if control.peers.daemon_count().is_none() {
+    if !control.peers.daemon_count().is_some_and(needs_watchers) {
         return Vec::new();
     }
     let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
@@ -178,14 +183,14 @@
 
     async fn step(&mut self) {
         let control = self.control;
-        if control.peers.daemon_count().is_none() {
+        match control.peers.daemon_count() {
             // The watchers are not known yet.
-            if self.revision.is_none() {
-                self.follow_store(WATCH_WAIT).await;
-            } else {
+            None if self.revision.is_some() => {
                 tokio::time::sleep(SETTLE_CHECK_INTERVAL).await;
+                return;
             }
-            return;
+            Some(daemons) if needs_watchers(daemons) => {}
+            None | Some(_) => return self.follow_store(DIRECT_WATCH_WAIT).await,
         }
         let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
         let domain = &control.settings.failure_domain;
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -32,8 +32,8 @@
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::Suspicion;
 
-/// How long a watcher of the store may take to answer: it waits one second for changes.
-const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a watcher of the store may take to answer, of which it waits 700 ms for changes.
+const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
 /// What the control thread is created from.
 pub(crate) struct Parts {
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -18,7 +18,7 @@
 
 /// How long a caller waits for changes: a fraction of the time within which a change of the table
 /// must become active, because a caller notices only after this time that a watcher is silent.
-const WAIT_LIMIT: Duration = Duration::from_secs(1);
+const WAIT_LIMIT: Duration = Duration::from_millis(700);
 
 /// The kinds of objects that are relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
