--- a/crates/persimmon-balancing/src/handshakes.rs
+++ b/crates/persimmon-balancing/src/handshakes.rs
@@ -16,6 +16,9 @@
 /// Concurrent handshakes with one instance.
 const MAX_CONCURRENT_PER_INSTANCE: usize = 1;
 
+/// Smallest share of an instance's connections to which a daemon is bound.
+const MIN_BINDING_SHARE: usize = 8;
+
 /// A handshake that exceeds its baseline by more than this has waited for a slot: a fraction of the
 /// wait at which an instance counts as congested.
 const CONGESTED_WAIT_MS: f64 = 20.0;
@@ -93,10 +96,11 @@
     pub fn may_open(&self, limits: ConnectionLimits, is_congested: bool) -> bool {
         let is_within_limit = self.checked_out + self.opening < (limits.max_connections / 2).max(1);
         let busy = self.checked_out.saturating_sub(self.pinned) + self.opening;
-        let share = (limits.slots * 2 / limits.sharers.max(1)).max(1);
+        let slot_share = (limits.slots * 2 / limits.sharers.max(1)).max(1);
         self.opening < MAX_CONCURRENT_PER_INSTANCE
             && is_within_limit
-            && (busy < share || !is_congested)
+            && busy < limits.connection_share()
+            && (busy < slot_share || !is_congested)
     }
 }
 
@@ -110,3 +114,15 @@
     /// Daemons that share them.
     pub sharers: usize,
 }
+
+impl ConnectionLimits {
+    /// The connections without an open transaction that one daemon may have.
+    ///
+    /// Few daemons keep to half of the limit together: after a loss of power, the instance counts
+    /// the connections of all daemons for some seconds more, and the other half lets the restarted
+    /// daemons connect at once. Where many daemons share the limit, each takes what it needs.
+    fn connection_share(&self) -> usize {
+        let share = self.max_connections / 2 / self.sharers.max(1);
+        if share < MIN_BINDING_SHARE { usize::MAX } else { share }
+    }
+}
--- a/crates/persimmon-balancing/tests/handshakes.rs
+++ b/crates/persimmon-balancing/tests/handshakes.rs
@@ -58,6 +58,28 @@
     assert!(!counts(4).may_open(limits, true));
 }
 
+#[test]
+fn owners_together_leave_half_of_the_connections_for_a_restart() {
+    let limits = ConnectionLimits { max_connections: 125, slots: 5, sharers: 5 };
+    let mut counts = ConnectionCounts::default();
+
+    while counts.may_open(limits, false) {
+        counts.checked_out += 1;
+    }
+    assert!(counts.checked_out * limits.sharers <= limits.max_connections / 2);
+
+    // Those that open transactions pin come on top.
+    counts.pinned = 5;
+    assert!(counts.may_open(limits, false));
+}
+
+#[test]
+fn one_of_many_daemons_opens_more_than_its_share() {
+    let counts = ConnectionCounts { checked_out: 3, pinned: 0, opening: 0 };
+
+    assert!(counts.may_open(LIMITS, false));
+}
+
 #[test]
 fn a_pinned_connection_does_not_count_as_busy() {
     let counts = ConnectionCounts { checked_out: 2, pinned: 2, opening: 0 };
