Replace a candidate that crashes before it is seen as the primary

Ruled out: a stale directory alone (the probes see all instances). Change: a candidate whose host refuses connections in two rounds is polled with peers; if most agree, the next candidate is chosen. The poll asks about the suspected instance instead of the directory's primary.

--- a/crates/persimmon-promotion/src/coordinator.rs
+++ b/crates/persimmon-promotion/src/coordinator.rs
@@ -77,6 +77,8 @@
         candidate: Arc<str>,
         check_at: Time,
         repeat_at: Time,
+        /// Rounds in which the candidate's host refused connections.
+        refused: u32,
     },
 }
 
@@ -332,6 +334,7 @@
             {
                 self.reset();
             }
+            State::Promoting { .. } => self.on_candidate_probed(findings, actions),
             State::Probing { reason, .. } => {
                 let reason = *reason;
                 if let Some(found_primary) = found_primary {
@@ -344,6 +347,25 @@
         }
     }
 
+    /// A candidate may crash before anybody has seen it as the primary.
+    fn on_candidate_probed(
+        &mut self,
+        findings: &[(Arc<str>, ProbeFinding)],
+        actions: &mut Vec<Action>,
+    ) {
+        let State::Promoting { candidate, refused, .. } = &mut self.state else {
+            return;
+        };
+        let is_refused =
+            findings.iter().any(|(id, f)| id == candidate && *f == ProbeFinding::Refused);
+        *refused = if is_refused { *refused + 1 } else { 0 };
+        if *refused >= REFUSED_ROUNDS {
+            *refused = 0;
+            self.suspected_primary = Some(Arc::clone(candidate));
+            actions.push(Action::PollPeers);
+        }
+    }
+
     fn on_primary_found(
         &mut self,
         now: Time,
@@ -416,6 +438,14 @@
     /// At least half of the peers that answer must agree that the primary fails: one that is
     /// unreachable only from this daemon has not failed.
     fn on_peers_polled(&mut self, now: Time, failing: usize, answered: usize) {
+        if let State::Promoting { reason, old_primary, .. } = &self.state {
+            if failing > answered {
+                self.confirm(now, *reason);
+            } else {
+                self.suspected_primary.clone_from(old_primary);
+            }
+            return;
+        }
         let State::Probing { reason, refused, silent, probe_at } = &mut self.state else {
             return;
         };
@@ -519,6 +549,7 @@
             candidate: Arc::clone(&candidate),
             check_at: now + PROBE_INTERVAL,
             repeat_at: now + PROMOTION_TIMEOUT,
+            refused: 0,
         };
         actions.push(Action::RequestPromotion { candidate, fencing_token });
     }
--- a/crates/persimmon-promotion/tests/coordinator.rs
+++ b/crates/persimmon-promotion/tests/coordinator.rs
@@ -437,3 +437,56 @@
     assert_eq!(actions, []);
     assert!(fixture.coordinator.is_idle());
 }
+
+/// Drives the lock's holder to the point where it has requested the promotion of `c`.
+fn promoting_c() -> Fixture {
+    let mut fixture = Fixture::with_lock(info("a"));
+    fixture.confirm_failure();
+    let answers = vec![status("b", Role::Replica, 3, 90), status("c", Role::Replica, 3, 95)];
+    fixture.input(210, Input::Asked(answers));
+    fixture.input(215, Input::Accepted);
+    fixture
+}
+
+#[test]
+fn a_candidate_that_crashes_before_it_is_seen_as_primary_is_replaced_at_once() {
+    let mut fixture = promoting_c();
+    let crashed = || findings(ProbeFinding::Follows, ProbeFinding::Follows, ProbeFinding::Refused);
+    assert_eq!(fixture.input(310, Input::Tick), [Action::Probe]);
+    assert_eq!(fixture.input(315, crashed()), []);
+    assert_eq!(fixture.input(410, Input::Tick), [Action::Probe]);
+
+    assert_eq!(fixture.input(415, crashed()), [Action::PollPeers]);
+    assert_eq!(fixture.coordinator.suspected_primary(), Some(&id("c")));
+    fixture.input(420, Input::Canvassed { failing: 3, answered: 0 });
+
+    assert_eq!(fixture.input(510, Input::Tick), [Action::QueryInstances]);
+}
+
+#[test]
+fn a_candidate_that_is_refused_only_to_this_daemon_keeps_its_promotion() {
+    let mut fixture = promoting_c();
+    let refused = || findings(ProbeFinding::Follows, ProbeFinding::Follows, ProbeFinding::Refused);
+    for ms in [315, 415] {
+        fixture.input(ms - 5, Input::Tick);
+        fixture.input(ms, refused());
+    }
+
+    fixture.input(420, Input::Canvassed { failing: 1, answered: 4 });
+
+    assert_eq!(fixture.coordinator.state_name(), "ordered");
+    assert_eq!(fixture.input(510, Input::Tick), [Action::Probe]);
+}
+
+#[test]
+fn a_candidate_that_does_not_lead_yet_keeps_its_promotion() {
+    let mut fixture = promoting_c();
+    let waiting = || findings(ProbeFinding::Refused, ProbeFinding::Follows, ProbeFinding::Follows);
+
+    for round in 0..8 {
+        fixture.input(310 + round * 100, Input::Tick);
+        assert_eq!(fixture.input(315 + round * 100, waiting()), []);
+    }
+
+    assert_eq!(fixture.coordinator.state_name(), "ordered");
+}
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -191,7 +191,10 @@
     match action {
         Action::Probe => Input::Probed(running.probes.probe(control, listed).await),
         Action::PollPeers => {
-            let Some(primary) = primary_info(control, &running.service).primary else {
+            let suspected = running.coordinator.borrow().suspected_primary().cloned();
+            let Some(primary) =
+                suspected.or_else(|| primary_info(control, &running.service).primary)
+            else {
                 return Input::Canvassed { failing: 0, answered: 0 };
             };
             let (failing, answered) = peers::poll_peers(control, &primary).await;
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -266,10 +266,10 @@
                 let feed = self.feed(kind);
                 let is_down = feed.state != FeedState::Live;
                 // A caller that is told at once that the store is down would ask again at once.
-                if !is_down || feed.state != state || feed.state == FeedState::NotWatching {
-                    if let Some(reply) = feed.reply(revision) {
-                        return reply;
-                    }
+                let answers_now =
+                    !is_down || feed.state != state || feed.state == FeedState::NotWatching;
+                if let Some(reply) = feed.reply(revision).filter(|_| answers_now) {
+                    return reply;
                 }
                 is_down
             };
--- a/crates/persimmonctl/src/explain.rs
+++ b/crates/persimmonctl/src/explain.rs
@@ -57,9 +57,9 @@
         }
         let is_related =
             self.shares_field(request, "instance") || self.shares_field(request, "service");
-        let is_request = |m: &&str| self.fields["message"].as_str() == Some(*m);
+        let is_request = |m: &str| self.fields["message"].as_str() == Some(m);
         let is_same_daemon =
-            self.source == request.source && !REQUEST_MESSAGES.iter().any(|m| is_request(&m));
+            self.source == request.source && !REQUEST_MESSAGES.iter().any(|m| is_request(m));
         let is_fleet_event =
             FLEET_MESSAGES.iter().any(|message| self.fields["message"].as_str() == Some(message));
         (is_related && is_same_daemon && self.is_within(SAME_DAEMON_WINDOW, request))
