Soak with owners: a connection limit below the number of daemons

The soak ran with 60 connections an instance, so that every daemon connected itself. A limit in the table makes its daemons run statements through an owner that is killed, paused and stopped like the others; a short run of it is in the tests.

--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -28,6 +28,9 @@
     /// number of groups of three instances
     #[options(default = "2")]
     groups: usize,
+    /// connection limit of an instance in the table; below twice the daemons they use owners
+    #[options(default = "60")]
+    connections: usize,
     /// number of clients
     #[options(default = "16")]
     callers: u64,
@@ -45,6 +48,7 @@
             length: Duration::from_secs(args.length),
             daemons: args.daemons,
             groups: args.groups,
+            max_connections: args.connections,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -40,7 +40,7 @@
             addresses: loopback_peer_addresses(daemons),
             daemons: Vec::new(),
             start_count: 0,
-            table_version: 1,
+            table_version: 2,
             faults: StoreFaults::default(),
             client_addresses: Arc::default(),
         };
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -32,6 +32,9 @@
     pub daemons: u16,
     /// The number of groups, each with three instances.
     pub groups: usize,
+    /// The connection limit of an instance that the table names. Daemons that outnumber half of it
+    /// run their statements through owners.
+    pub max_connections: usize,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -56,7 +59,8 @@
 /// Returns an error if a process or a fake cannot be started.
 pub fn run(options: &Options) -> io::Result<Report> {
     let plan = Plan::new(options.seed, options.length);
-    let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?;
+    let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
+        .with_max_connections(options.max_connections);
     let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons)?;
     let mut violations = Vec::new();
     if !wait(RECOVERY_LIMIT, || fleet.is_ready()) {
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -11,10 +11,17 @@
 /// A seed whose plan covers crashes, partitions and an unavailable store.
 const SHORT_RUN_SEED: u64 = 2;
 
-fn check(seed: u64, length: Duration) {
-    let name = format!("soak-test-{}-{seed}", std::process::id());
+/// A connection limit at which every daemon connects to the instances.
+const MANY_CONNECTIONS: usize = 60;
+
+/// A connection limit at which one daemon owns the service.
+const FEW_CONNECTIONS: usize = 4;
+
+fn check(seed: u64, length: Duration, max_connections: usize) {
+    let name = format!("soak-test-{}-{seed}-{max_connections}", std::process::id());
     let log_dir = std::env::temp_dir().join(name);
-    let options = Options { seed, length, daemons: 3, groups: 1, clients: 6, log_dir };
+    let options =
+        Options { seed, length, daemons: 3, groups: 1, max_connections, clients: 6, log_dir };
 
     let report = run(&options).expect("the run starts");
 
@@ -25,13 +32,18 @@
 
 #[test]
 fn a_short_run_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(6));
+    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS);
+}
+
+#[test]
+fn a_short_run_with_an_owner_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(6), FEW_CONNECTIONS);
 }
 
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
-        check(seed, Duration::from_secs(8));
+        check(seed, Duration::from_secs(8), MANY_CONNECTIONS);
     }
 }
 
