--- a/crates/persimmon-ownership/src/lib.rs
+++ b/crates/persimmon-ownership/src/lib.rs
@@ -12,12 +12,14 @@
 //!   connections, and nothing else.
 //! - A statement is forwarded at most once.
 
+mod change_feed;
 mod forwarding;
 mod link_health;
 mod member;
 mod owners;
 mod watch_source;
 
+pub use change_feed::{ChangeFeed, Since};
 pub use forwarding::{HopFailure, Path, after_hop, choose_path};
 pub use link_health::LinkHealth;
 pub use member::{Member, MemberList};
--- /dev/null
+++ b/crates/persimmon-ownership/tests/change_feed.rs
@@ -0,0 +1,97 @@
+//! What a watcher passes on to a caller that received a part of the changes.
+
+use std::sync::Arc;
+
+use persimmon_interfaces::{Change, Changes, Listing, Object};
+use persimmon_ownership::{ChangeFeed, Since};
+
+fn object(name: &str, revision: u64) -> Object {
+    Object { name: Arc::from(name), revision, value: serde_json::Value::Null }
+}
+
+fn written(name: &str, revision: u64) -> Change {
+    Change::Written(object(name, revision))
+}
+
+fn batch(revision: u64, changes: Vec<Change>) -> Changes {
+    Changes { changes, revision }
+}
+
+/// A feed that listed one object at revision 10.
+fn feed() -> ChangeFeed {
+    let mut feed = ChangeFeed::new();
+    feed.apply_listing(&Listing { objects: vec![object("a", 4)], revision: 10 });
+    feed
+}
+
+fn change_names(since: Since<'_>) -> Vec<String> {
+    let Since::Changes(changes) = since else {
+        return vec![format!("{since:?}")];
+    };
+    let name = |change: &&Change| match change {
+        Change::Written(object) => format!("+{}", object.name),
+        Change::Removed(name) => format!("-{name}"),
+    };
+    changes.iter().map(name).collect()
+}
+
+#[test]
+fn caller_receives_every_later_change_in_order() {
+    let mut feed = feed();
+    feed.apply_changes(&batch(12, vec![written("b", 11), written("c", 12)]));
+    feed.apply_changes(&batch(13, vec![Change::Removed(Arc::from("b"))]));
+
+    assert_eq!(change_names(feed.since(10)), ["+b", "+c", "-b"]);
+    assert_eq!(change_names(feed.since(12)), ["-b"]);
+}
+
+#[test]
+fn caller_between_two_batches_receives_the_whole_one() {
+    let mut feed = feed();
+    feed.apply_changes(&batch(14, vec![written("b", 11), written("c", 14)]));
+
+    // It received revision 12 from another watcher.
+    assert_eq!(change_names(feed.since(12)), ["+b", "+c"]);
+}
+
+#[test]
+fn caller_that_lacks_nothing_or_is_ahead_waits() {
+    let feed = feed();
+
+    assert!(matches!(feed.since(10), Since::Nothing));
+    assert!(matches!(feed.since(15), Since::Nothing));
+}
+
+#[test]
+fn caller_before_the_kept_changes_receives_all_objects() {
+    let mut feed = feed();
+    feed.apply_changes(&batch(11, vec![written("b", 11)]));
+
+    let Since::All(objects) = feed.since(9) else {
+        panic!("changes since 9 are not known");
+    };
+    let names: Vec<&str> = objects.iter().map(|o| &*o.name).collect();
+    assert_eq!(names, ["a", "b"]);
+}
+
+#[test]
+fn caller_far_behind_receives_all_objects() {
+    let mut feed = feed();
+    for revision in 11..200 {
+        feed.apply_changes(&batch(revision, vec![written("a", revision)]));
+    }
+
+    assert!(matches!(feed.since(10), Since::All(_)));
+    assert_eq!(change_names(feed.since(197)), ["+a", "+a"]);
+}
+
+#[test]
+fn older_changes_of_another_watcher_are_ignored() {
+    let mut feed = feed();
+    feed.apply_changes(&batch(12, vec![written("b", 12)]));
+
+    feed.apply_changes(&batch(11, vec![Change::Removed(Arc::from("b"))]));
+
+    assert_eq!(feed.revision(), 12);
+    assert_eq!(change_names(feed.since(10)), ["+b"]);
+}
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -1,21 +1,15 @@
 //! Changes of the store's objects, kept for daemons that do not watch the store.
-//!
-//! Invariant: a caller that has everything up to a revision receives every later change, or a full
-//! listing.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind};
+use persimmon_ownership::{ChangeFeed, Since};
 use persimmon_types::Clock;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::sync::Notify;
 
-/// Number of batches of changes that are kept; a caller that lacks an older one gets a listing.
-const MAX_BATCHES: usize = 64;
-
 /// How long a caller waits for changes: a fraction of the time within which a change of the table
 /// must become active, because a caller notices only after this time that a watcher is silent.
 const WAIT_LIMIT: Duration = Duration::from_millis(700);
@@ -127,13 +121,6 @@
     StoreDown,
 }
 
-#[derive(Debug)]
-struct Batch {
-    after: u64,
-    revision: u64,
-    changes: Vec<Change>,
-}
-
 /// Whether a daemon follows the store itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum FeedState {
@@ -149,39 +136,30 @@
 #[derive(Debug, Default)]
 struct Feed {
     state: FeedState,
-    revision: u64,
-    objects: BTreeMap<Arc<str>, Object>,
-    batches: VecDeque<Batch>,
+    changes: ChangeFeed,
 }
 
 impl Feed {
-    fn changes_since(&self, revision: u64) -> Option<WireChanges> {
-        let newer = self.batches.iter().skip_while(|batch| batch.revision <= revision);
-        let first_after = newer.clone().next().map_or(self.revision, |batch| batch.after);
-        if first_after > revision {
-            return None;
-        }
-        let changes = newer.flat_map(|batch| &batch.changes).map(WireChange::from).collect();
-        Some(WireChanges { changes, revision: self.revision })
-    }
-
+    /// The reply to a caller that has everything up to `revision`; `None` if it has to wait.
     fn reply(&self, revision: u64) -> Option<RelayReply> {
         match self.state {
             FeedState::NotWatching => return Some(RelayReply::NotWatching),
-            FeedState::StoreDown | FeedState::Live if self.revision == 0 => return None,
+            FeedState::StoreDown | FeedState::Live if self.changes.revision() == 0 => return None,
             FeedState::StoreDown => return Some(RelayReply::StoreDown),
             FeedState::Live => {}
         }
-        if self.revision <= revision {
-            return None;
+        let newest = self.changes.revision();
+        match self.changes.since(revision) {
+            Since::Nothing => None,
+            Since::Changes(changes) => {
+                let changes = changes.into_iter().map(WireChange::from).collect();
+                Some(RelayReply::Changes(WireChanges { changes, revision: newest }))
+            }
+            Since::All(objects) => {
+                let objects = objects.into_iter().map(WireObject::from).collect();
+                Some(RelayReply::Listing(WireListing { objects, revision: newest }))
+            }
         }
-        Some(self.changes_since(revision).map_or_else(
-            || {
-                let objects = self.objects.values().map(WireObject::from).collect();
-                RelayReply::Listing(WireListing { objects, revision: self.revision })
-            },
-            RelayReply::Changes,
-        ))
     }
 }
 
@@ -212,47 +190,18 @@
 
     /// The revision up to which this daemon has received changes; `None` before the first listing.
     pub(crate) fn revision(&self, kind: RelayedKind) -> Option<u64> {
-        Some(self.feed(kind).revision).filter(|revision| *revision > 0)
+        Some(self.feed(kind).changes.revision()).filter(|revision| *revision > 0)
     }
 
     /// Replaces all objects of a kind.
     pub(crate) fn apply_listing(&self, kind: RelayedKind, listing: &Listing) {
-        let mut feed = self.feed(kind);
-        feed.batches.clear();
-        feed.revision = listing.revision;
-        let objects = listing.objects.iter().map(|o| (Arc::clone(&o.name), o.clone()));
-        feed.objects = objects.collect();
-        drop(feed);
+        self.feed(kind).changes.apply_listing(listing);
         self.changed.notify_waiters();
     }
 
     /// Applies what a watch returned.
     pub(crate) fn apply_changes(&self, kind: RelayedKind, changes: &Changes) {
-        let mut feed = self.feed(kind);
-        if changes.revision <= feed.revision {
-            return;
-        }
-        for change in &changes.changes {
-            match change {
-                Change::Written(object) => {
-                    feed.objects.insert(Arc::clone(&object.name), object.clone());
-                }
-                Change::Removed(name) => {
-                    feed.objects.remove(name);
-                }
-            }
-        }
-        let batch = Batch {
-            after: feed.revision,
-            revision: changes.revision,
-            changes: changes.changes.clone(),
-        };
-        feed.revision = changes.revision;
-        feed.batches.push_back(batch);
-        if feed.batches.len() > MAX_BATCHES {
-            feed.batches.pop_front();
-        }
-        drop(feed);
+        self.feed(kind).changes.apply_changes(changes);
         self.changed.notify_waiters();
     }
 
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -96,6 +96,32 @@
         LineClient::open(address, database, name).expect("the session opens")
     }
 
+    /// Runs transactions of six sessions in turn, each with a value and a prepared statement whose
+    /// names collide, and asserts that each session sees its own state.
+    pub fn run_transactions_in_sessions(&self, daemon: usize) {
+        let mut clients: Vec<LineClient> =
+            (0..6).map(|n| self.client(daemon, "r0", &format!("c{n}"))).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            assert!(
+                client.query(&format!("SET who c{number}")).expect("a response").result.is_ok()
+            );
+            let prepared = client.query("PREPARE s1 WRITE shape").expect("a response");
+            assert_eq!(prepared.result, Ok("-".to_owned()));
+        }
+
+        for round in 0..10 {
+            for (number, client) in clients.iter_mut().enumerate() {
+                assert_eq!(client.query("BEGIN").expect("a response").state, "T");
+                let written = client.query(&format!("EXECUTE s1 k{number} v{number}-{round}"));
+                assert!(written.expect("a response").result.is_ok());
+                let committed = client.query("COMMIT").expect("a response");
+                assert!(committed.result.is_ok(), "{committed:?}");
+                let read = client.query(&format!("READ k{number}")).expect("a response");
+                assert_eq!(read.rows, [format!("v{number}-{round}")]);
+            }
+        }
+    }
+
     /// Sends writes on new sessions until one succeeds; returns how long that took.
     pub fn time_to_write(&self, daemon: usize, data: &str) -> Duration {
         let start = Instant::now();
--- a/crates/persimmond/tests/platform.rs
+++ b/crates/persimmond/tests/platform.rs
@@ -42,25 +42,8 @@
 #[test]
 fn sessions_share_no_values_statements_or_transactions() {
     let setup = setup("sessions", 1);
-    let mut clients: Vec<LineClient> =
-        (0..6).map(|n| setup.client(0, "r0", &format!("c{n}"))).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
-        assert!(client.query(&format!("SET who c{number}")).expect("a response").result.is_ok());
-        let prepared = client.query("PREPARE s1 WRITE shape").expect("a response");
-        assert_eq!(prepared.result, Ok("-".to_owned()));
-    }
 
-    for round in 0..10 {
-        for (number, client) in clients.iter_mut().enumerate() {
-            assert_eq!(client.query("BEGIN").expect("a response").state, "T");
-            let written = client.query(&format!("EXECUTE s1 k{number} v{number}-{round}"));
-            assert!(written.expect("a response").result.is_ok());
-            let committed = client.query("COMMIT").expect("a response");
-            assert!(committed.result.is_ok(), "{committed:?}");
-            let read = client.query(&format!("READ k{number}")).expect("a response");
-            assert_eq!(read.rows, [format!("v{number}-{round}")]);
-        }
-    }
+    setup.run_transactions_in_sessions(0);
 
     setup.assert_no_violations();
 }
