--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -29,6 +29,10 @@
 /// acquire it.
 const LOCK_STAGGER: Duration = Duration::from_millis(1_500);
 
+/// Part of that delay within which the daemons that come first for a service draw theirs; the others
+/// draw from the rest.
+const CANDIDATE_STAGGER_PART: f64 = 0.3;
+
 /// How long the promotion lock is not taken over after another daemon acquired it or requested a
 /// promotion, so that its request can take effect.
 const PROMOTION_GRACE_MS: u64 = 2_500;
@@ -126,8 +130,9 @@
 
 fn new_coordinator(control: &Control, service: &Arc<str>) -> PromotionCoordinator {
     let is_candidate = peers::is_lock_candidate(control, service);
-    let (min, max) = if is_candidate { (0.0, 0.3) } else { (0.3, 1.0) };
-    let stagger = LOCK_STAGGER.mul_f64(rand::rng().random_range(min..max));
+    let range =
+        if is_candidate { 0.0..CANDIDATE_STAGGER_PART } else { CANDIDATE_STAGGER_PART..1.0 };
+    let stagger = LOCK_STAGGER.mul_f64(rand::rng().random_range(range));
     PromotionCoordinator::new(stagger).with_lock_lease(control.settings.promotion_lock_lease)
 }
 
