A fleet that does not forward shares connections among all its daemons

Cause: without a port for forwarding every daemon connects itself, but its share was computed from the owners.

--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -85,7 +85,6 @@
 
     /// The owners of a service; `None` if every daemon connects to its instances.
     fn owners(&self, service: &Arc<str>) -> Option<Arc<ServiceOwners>> {
-        self.settings.forwarding?;
         self.peers.needed_owners(service, self.max_connections(service))
     }
 
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct PeerList {
     own: Member,
+    /// Whether daemons of this fleet forward statements to each other.
+    is_forwarding: bool,
     seeds: Vec<SocketAddr>,
     peers: Mutex<Peers>,
     /// Whether enough peer lists were exchanged to estimate the number of daemons.
@@ -24,11 +26,19 @@
 }
 
 impl PeerList {
-    /// Creates the list of a daemon that knows only the seeds' addresses.
+    /// Creates the list of a daemon that knows only the seeds' addresses, and forwards nothing.
     #[must_use]
     pub fn new(own: Member, seeds: &[SocketAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.address).collect();
-        Self { own, seeds, peers: Mutex::default(), is_settled: AtomicBool::new(false) }
+        let (peers, is_settled) = (Mutex::default(), AtomicBool::new(false));
+        Self { own, is_forwarding: false, seeds, peers, is_settled }
+    }
+
+    /// Sets whether daemons of this fleet forward statements to each other.
+    #[must_use]
+    pub fn with_forwarding(mut self, is_forwarding: bool) -> Self {
+        self.is_forwarding = is_forwarding;
+        self
     }
 
     fn lock(&self) -> MutexGuard<'_, Peers> {
@@ -90,7 +100,8 @@
         max_connections: u32,
     ) -> Option<Arc<ServiceOwners>> {
         let known = self.lock().members.len() + 1;
-        needs_owners(max_connections, known).then(|| self.owners(service))
+        let is_needed = self.is_forwarding && needs_owners(max_connections, known);
+        is_needed.then(|| self.owners(service))
     }
 
     /// Number of daemons that share the connections of a service's instances; `None` until it is
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -65,7 +65,8 @@
         domain: Arc::clone(&settings.failure_domain),
         capacity: settings.capacity,
     };
-    let peers = Arc::new(PeerList::new(own, &settings.seeds));
+    let peers = PeerList::new(own, &settings.seeds);
+    let peers = Arc::new(peers.with_forwarding(settings.forwarding.is_some()));
     let (sample_requests_tx, sample_requests) = mpsc::channel(SAMPLE_REQUEST_QUEUE);
     let samples = Arc::new(LatestSamples::new(sample_requests_tx));
     let settings = Arc::new(settings);
