Watchers keep one table, and compare with two others at a time

Change: the feed of the table keeps no batches, since each change is the whole table; comparisons take two watchers in turn.

--- a/crates/persimmon-ownership/src/change_feed.rs
+++ b/crates/persimmon-ownership/src/change_feed.rs
@@ -8,8 +8,9 @@
 
 use persimmon_interfaces::{Change, Changes, Listing, Object};
 
-/// Number of batches of changes that are kept; a caller that lacks an older one gets all objects.
-const MAX_BATCHES: usize = 64;
+/// Number of batches of changes that are kept by default; a caller that lacks an older one gets all
+/// objects.
+const DEFAULT_MAX_BATCHES: usize = 64;
 
 #[derive(Debug)]
 struct Batch {
@@ -31,18 +32,38 @@
 }
 
 /// The objects of one kind and their latest changes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ChangeFeed {
     revision: u64,
     objects: BTreeMap<Arc<str>, Object>,
     batches: VecDeque<Batch>,
+    max_batches: usize,
+}
+
+impl Default for ChangeFeed {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl ChangeFeed {
     /// Creates a feed without objects.
     #[must_use]
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            revision: 0,
+            objects: BTreeMap::new(),
+            batches: VecDeque::new(),
+            max_batches: DEFAULT_MAX_BATCHES,
+        }
+    }
+
+    /// Sets how many batches of changes are kept: none where each change replaces everything, so
+    /// that a batch is as large as all objects.
+    #[must_use]
+    pub fn with_max_batches(mut self, max_batches: usize) -> Self {
+        self.max_batches = max_batches;
+        self
     }
 
     /// The revision up to which changes were received; zero before the first listing.
@@ -80,7 +101,7 @@
             changes: changes.changes.clone(),
         });
         self.revision = changes.revision;
-        if self.batches.len() > MAX_BATCHES {
+        if self.batches.len() > self.max_batches {
             self.batches.pop_front();
         }
     }
--- a/crates/persimmon-ownership/tests/change_feed.rs
+++ b/crates/persimmon-ownership/tests/change_feed.rs
@@ -95,3 +95,18 @@
     assert_eq!(feed.revision(), 12);
     assert_eq!(change_names(feed.since(10)), ["+b"]);
 }
+
+#[test]
+fn feed_of_a_single_large_object_keeps_only_the_object() {
+    let mut feed = ChangeFeed::new().with_max_batches(0);
+    feed.apply_listing(&Listing { objects: vec![object("main", 4)], revision: 10 });
+    for revision in 11..20 {
+        feed.apply_changes(&batch(revision, vec![written("main", revision)]));
+    }
+
+    let Since::All(objects) = feed.since(18) else {
+        panic!("no change is kept");
+    };
+    let revisions: Vec<u64> = objects.iter().map(|o| o.revision).collect();
+    assert_eq!(revisions, [19]);
+}
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -36,6 +36,9 @@
 /// Pause between two comparisons with other watchers, which wait for changes themselves.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Watchers that are asked at the same time, in turn: a large table comes from each of them.
+const COMPARED_WATCHERS: usize = 2;
+
 /// How often a daemon that has just started checks whether it knows the watchers.
 const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -107,17 +110,21 @@
         return;
     };
     let mut follower = Follower::new(&control, kind, Duration::ZERO);
+    let mut first = 0;
     loop {
         tokio::time::sleep(COMPARE_INTERVAL).await;
         let Some(revision) = control.relay.revision(relayed) else {
             continue;
         };
+        let others = other_watchers(&control);
         let mut requests = FuturesUnordered::new();
-        for peer in other_watchers(&control) {
+        for index in 0..others.len().min(COMPARED_WATCHERS) {
+            let peer = others[(first + index) % others.len()];
             let control = Rc::clone(&control);
             requests
                 .push(async move { control.request_changes(peer, relayed, Some(revision)).await });
         }
+        first = first.wrapping_add(COMPARED_WATCHERS);
         while let Some(reply) = requests.next().await {
             match reply {
                 Ok(RelayReply::Changes(changes)) => {
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -206,7 +206,7 @@
         directory: RefCell::new(directory),
         has_directory: Cell::new(false),
         is_store_answering: Cell::new(false),
-        relay: Arc::default(),
+        relay: Arc::new(Relay::new()),
         watchers: RefCell::default(),
         published: Arc::default(),
         reachability: parts.reachability,
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -164,7 +164,7 @@
 }
 
 /// What this daemon has read from the store, for daemons that do not watch it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Relay {
     table: Mutex<Feed>,
     instances: Mutex<Feed>,
@@ -172,6 +172,14 @@
 }
 
 impl Relay {
+    /// Creates a relay that has received nothing.
+    pub(crate) fn new() -> Self {
+        // Each change of the table is the whole table.
+        let changes = ChangeFeed::new().with_max_batches(0);
+        let table = Feed { state: FeedState::default(), changes };
+        Self { table: Mutex::new(table), instances: Mutex::default(), changed: Notify::new() }
+    }
+
     fn feed(&self, kind: RelayedKind) -> MutexGuard<'_, Feed> {
         let feed = match kind {
             RelayedKind::Table => &self.table,
