--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -22,12 +22,12 @@
 /// listing.
 const DIRECT_WATCH_WAIT: Duration = Duration::from_secs(29);
 
-/// The same on a daemon on which others rely. A shorter wait costs more calls; after a longer one it takes
+/// How long a watch of a watcher waits. A shorter wait costs more calls; after a longer one it takes
 /// longer to notice that the store has accepted the watch and never answers.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// The same for a daemon that only makes up for the watchers: the store may be silent to it, and the
-/// watchers may answer again meanwhile.
+/// How long a watch waits of a daemon whose watchers do not answer: the store may be silent to it,
+/// and the watchers may answer again meanwhile.
 const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_millis(300);
 
 /// The key by which the daemons that watch the store are chosen.
