--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -132,7 +132,14 @@
                 }
                 Ok(RelayReply::Listing(listing)) => {
                     let listing = Listing::from(listing);
-                    if Some(listing.revision) > control.relay.revision(relayed) {
+                    let before = control.relay.revision(relayed);
+                    if Some(listing.revision) > before {
+                        tracing::info!(
+                            ?kind,
+                            revision = listing.revision,
+                            before,
+                            "the objects of another watcher replace those of this one"
+                        );
                         follower.apply_listing(&listing);
                     }
                 }
@@ -170,6 +177,8 @@
     backoff: Backoff,
     /// The store's revision up to which changes were received; `None` before the first listing.
     revision: Option<u64>,
+    /// The revision whose later changes the store no longer has, for the log.
+    gone_revision: Option<u64>,
     may_be_stale: bool,
 }
 
@@ -182,6 +191,7 @@
             sources: SourceChooser::new(),
             backoff: Backoff::new(kind),
             revision: None,
+            gone_revision: None,
             // The watch that follows delivers what a stale listing misses, unless the history is
             // gone.
             may_be_stale: true,
@@ -246,7 +256,7 @@
             Err(StoreError::HistoryGone) => {
                 tracing::info!(kind = ?self.kind,
                     "the watched revision is no longer in the store's history; listing again");
-                self.revision = None;
+                self.gone_revision = self.revision.take();
                 self.may_be_stale = false;
             }
             // A watch may be interrupted at any time; missed changes are in the history.
@@ -259,6 +269,8 @@
 
     async fn list(&mut self) -> Result<bool, StoreError> {
         let listing = self.control.platform.store.list(self.kind, self.may_be_stale).await?;
+        tracing::info!(kind = ?self.kind, revision = listing.revision, before = self.gone_revision,
+            objects = listing.objects.len(), "the objects in the store were listed");
         self.apply_listing(&listing);
         Ok(false)
     }
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -137,9 +137,21 @@
 struct Feed {
     state: FeedState,
     changes: ChangeFeed,
+    /// The revision of the latest caller that was ahead of the feed; bounds the log.
+    logged_ahead: u64,
 }
 
 impl Feed {
+    /// Logs that a caller has a higher revision than this feed, once for each such revision.
+    fn log_caller_ahead(&mut self, kind: RelayedKind, revision: u64) {
+        let newest = self.changes.revision();
+        if revision > newest && revision != self.logged_ahead {
+            self.logged_ahead = revision;
+            tracing::info!(?kind, requested = revision, newest, state = ?self.state,
+                "a daemon requests changes since a revision that this watcher has not reached");
+        }
+    }
+
     /// The reply to a caller that has everything up to `revision`; `None` if it has to wait.
     fn reply(&self, revision: u64) -> Option<RelayReply> {
         match self.state {
@@ -176,7 +188,7 @@
     pub(crate) fn new() -> Self {
         // Each change of the table is the whole table.
         let changes = ChangeFeed::new().with_max_batches(0);
-        let table = Feed { state: FeedState::default(), changes };
+        let table = Feed { changes, ..Feed::default() };
         Self { table: Mutex::new(table), instances: Mutex::default(), changed: Notify::new() }
     }
 
@@ -216,7 +228,11 @@
     /// The changes since a revision, as soon as there are any.
     pub(crate) async fn wait(&self, kind: RelayedKind, revision: u64) -> RelayReply {
         let deadline = Clock.now() + WAIT_LIMIT;
-        let state = self.feed(kind).state;
+        let state = {
+            let mut feed = self.feed(kind);
+            feed.log_caller_ahead(kind, revision);
+            feed.state
+        };
         loop {
             let changed = self.changed.notified();
             let is_down = {
