Failing tests of a store restored from a copy, and the lab's stand-in for it

The lab's store counts restores in Store-Era, loses what was written since the copy, gives revisions out again, and interrupts waiting watches; instances write again with a rising sequence number.

--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -10,18 +10,19 @@
 mod instance;
 mod store;
 
+use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 pub use client::{LineClient, LineResponse};
 pub use daemon::{Addresses, Daemon};
 pub use group::{Group, InstanceProfile};
 pub use instance::InstanceServer;
-pub use store::{Store, StoreFaults};
+pub use store::{Store, StoreCopy, StoreFaults};
 
 use crate::fault_proxy::FaultProxy;
 
@@ -50,6 +51,8 @@
     pub groups: Vec<(Arc<Group>, Vec<ProxiedInstance>)>,
     /// The connection limit of an instance that the table names.
     max_connections: usize,
+    /// What each instance wrote last of itself, and how often it has written.
+    written: Mutex<HashMap<String, (Value, u64)>>,
 }
 
 impl LineCluster {
@@ -80,7 +83,8 @@
             started.push((group, instances));
         }
         let max_connections = InstanceProfile::default().max_connections;
-        let cluster = Self { store, store_proxy, groups: started, max_connections };
+        let written = Mutex::default();
+        let cluster = Self { store, store_proxy, groups: started, max_connections, written };
         cluster.publish_instances(false);
         cluster.put_table(1, &[]);
         Ok(cluster)
@@ -107,19 +111,44 @@
                     continue;
                 }
                 let state = if first_is_draining && index == 0 { "draining" } else { "ready" };
-                self.store.put(
-                    "servers",
-                    &instance.id,
-                    json!({
-                        "service": group.name, "address": instance.proxy.address.to_string(),
-                        "zone": "z1", "version": "v1", "slots": 5, "state": state, "cold_ms": 0,
-                        "db_role": group.role(index), "seq": 1, "born": group.born(index),
-                    }),
-                );
+                let entry = json!({
+                    "service": group.name, "address": instance.proxy.address.to_string(),
+                    "zone": "z1", "version": "v1", "slots": 5, "state": state, "cold_ms": 0,
+                    "db_role": group.role(index), "born": group.born(index),
+                });
+                self.write_entry(&instance.id, entry, false);
             }
         }
     }
 
+    /// Lets every instance that is up write its latest entry again, as a heartbeat does.
+    pub fn beat(&self) {
+        let written = self.written.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for (group, instances) in &self.groups {
+            for (index, instance) in instances.iter().enumerate() {
+                let Some((entry, _)) = written.get(&instance.id).filter(|_| group.is_up(index))
+                else {
+                    continue;
+                };
+                self.write_entry(&instance.id, entry.clone(), true);
+            }
+        }
+    }
+
+    /// Writes an instance's entry with the next sequence number. Without `is_heartbeat`, an
+    /// unchanged entry keeps its number.
+    fn write_entry(&self, id: &str, entry: Value, is_heartbeat: bool) {
+        let mut written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        let (last, sequence) = written.entry(id.to_owned()).or_default();
+        if *last != entry || is_heartbeat {
+            *sequence += 1;
+        }
+        last.clone_from(&entry);
+        let mut entry = entry;
+        entry["seq"] = json!(*sequence);
+        self.store.put("servers", id, entry);
+    }
+
     /// Writes a version of the table.
     ///
     /// Each service `N` gets the databases `pN` (latest), `bN` (staleness of up to one second) and
--- a/crates/persimmon-lab/src/line_cluster/store.rs
+++ b/crates/persimmon-lab/src/line_cluster/store.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::rt::{DefaultRuntime, System};
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 use serde::Deserialize;
@@ -14,6 +15,9 @@
 
 use crate::line_cluster::group::Group;
 
+/// The header of every answer that counts how often the store was restored from a copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// Faults that the store injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreFaults {
@@ -31,8 +35,17 @@
     spec: Value,
 }
 
+/// The store's objects at one moment, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Stored>,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// How often the store was restored from a copy, counted from one.
+    era: u64,
     revision: u64,
     oldest_revision: u64,
     objects: BTreeMap<(String, String), Stored>,
@@ -74,7 +87,11 @@
             state: Arc::default(),
             changed: watch::Sender::new(0),
         };
-        store.lock().revision = 1;
+        {
+            let mut state = store.lock();
+            state.revision = 1;
+            state.era = 1;
+        }
         let serving = store.clone();
         std::thread::spawn(move || {
             let system = System::new("store", DefaultRuntime);
@@ -121,6 +138,37 @@
         self.changed.send_replace(revision);
     }
 
+    /// Copies the objects, to restore the store from later.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Replaces the objects by those of a copy. Everything written since then is lost, and its
+    /// revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects.clone_from(&copy.objects);
+        state.events.retain(|(revision, ..)| *revision <= copy.revision);
+        drop(state);
+        self.changed.send_replace(copy.revision);
+    }
+
+    /// The store's revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
+    /// Adds the header that counts restores to an answer.
+    fn with_era(&self, mut res: HttpResponse) -> HttpResponse {
+        res.headers_mut().insert(ERA_HEADER, HeaderValue::from(self.lock().era));
+        res
+    }
+
     /// Writes an object unconditionally; an unchanged object keeps its revision.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let key = (kind.to_owned(), name.to_owned());
@@ -178,14 +226,30 @@
         (newer.map(|(_, _, event)| event.clone()).collect(), state.revision)
     }
 
+    fn list(&self, kind: &str) -> Value {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let items: Vec<Value> = of_kind.map(|((_, name), o)| object_json(name, o)).collect();
+        json!({"items": items, "has_more": false, "at": state.revision})
+    }
+
+    fn read(&self, kind: &str, name: &str) -> HttpResponse {
+        match self.lock().objects.get(&(kind.to_owned(), name.to_owned())) {
+            Some(stored) => HttpResponse::Ok().json(&object_json(name, stored)),
+            None => HttpResponse::NotFound().finish(),
+        }
+    }
+
     async fn watch(&self, kind: &str, after: u64, wait: Duration) -> HttpResponse {
         let mut changed = self.changed.subscribe();
+        let era = self.lock().era;
         let deadline = tokio::time::Instant::now() + wait;
         loop {
-            if self.lock().faults.is_unavailable {
+            // A restore interrupts the watches that wait.
+            if self.lock().faults.is_unavailable || self.lock().era != era {
                 return HttpResponse::ServiceUnavailable().finish();
             }
-            if after < self.lock().oldest_revision {
+            if after < self.lock().oldest_revision || after > self.lock().revision {
                 return HttpResponse::Gone().finish();
             }
             let (events, at) = self.events_after(kind, after);
@@ -292,16 +356,14 @@
     query: web::types::Query<ListQuery>,
 ) -> HttpResponse {
     if let Some(refused) = store.admit() {
-        return refused;
+        return store.with_era(refused);
     }
     if let Some(after) = query.watch {
         let wait = Duration::from_millis(query.wait_ms.unwrap_or(0));
-        return store.watch(&kind, after, wait).await;
+        let res = store.watch(&kind, after, wait).await;
+        return store.with_era(res);
     }
-    let state = store.lock();
-    let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind.as_str());
-    let items: Vec<Value> = of_kind.map(|((_, name), o)| object_json(name, o)).collect();
-    HttpResponse::Ok().json(&json!({"items": items, "has_more": false, "at": state.revision}))
+    store.with_era(HttpResponse::Ok().json(&store.list(&kind)))
 }
 
 /// Reads one object.
@@ -311,13 +373,11 @@
     path: web::types::Path<(String, String)>,
 ) -> HttpResponse {
     if let Some(refused) = store.admit() {
-        return refused;
+        return store.with_era(refused);
     }
     let (kind, name) = path.into_inner();
-    match store.lock().objects.get(&(kind, name.clone())) {
-        Some(stored) => HttpResponse::Ok().json(&object_json(&name, stored)),
-        None => HttpResponse::NotFound().finish(),
-    }
+    let res = store.read(&kind, &name);
+    store.with_era(res)
 }
 
 /// Creates one object.
@@ -328,7 +388,8 @@
     written: web::types::Json<WriteBody>,
 ) -> HttpResponse {
     let WriteBody { meta, spec } = written.into_inner();
-    store.write(&kind, &meta.name, None, spec).await
+    let res = store.write(&kind, &meta.name, None, spec).await;
+    store.with_era(res)
 }
 
 /// Replaces one object.
@@ -340,7 +401,8 @@
 ) -> HttpResponse {
     let (kind, name) = path.into_inner();
     let WriteBody { meta, spec } = written.into_inner();
-    store.write(&kind, &name, meta.rev, spec).await
+    let res = store.write(&kind, &name, meta.rev, spec).await;
+    store.with_era(res)
 }
 
 /// Requests a promotion.
--- /dev/null
+++ b/crates/persimmond/tests/restored_store.rs
@@ -0,0 +1,129 @@
+//! Tests daemons while the store comes back from a copy that lacks what it had acknowledged.
+
+mod fleet;
+
+use std::time::Duration;
+
+use persimmon_lab::line_cluster::{InstanceProfile, LineCluster, StoreCopy, StoreFaults};
+
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup, setup_on};
+
+/// A fleet that is large enough to have watchers.
+const LARGE_FLEET: usize = 33;
+
+/// The time within which a change must be active on the smallest deployment.
+const TABLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Heartbeats of three instances, so that the store's revision rises by hundreds.
+const HEARTBEATS: usize = 60;
+
+fn setup_large_fleet(name: &str) -> Setup {
+    let cluster =
+        LineCluster::start(1, 3, InstanceProfile::default()).expect("the fake platform starts");
+    let setup = setup_on(name, LARGE_FLEET, cluster);
+    let have_members =
+        |daemon| setup.has_logged(daemon, |line| line["message"] == "members were exchanged");
+    assert!(holds_within(CONDITION_TIMEOUT, || (0..LARGE_FLEET).all(have_members)));
+    setup
+}
+
+fn is_active(setup: &Setup, daemon: usize, version: u64) -> bool {
+    setup.has_logged(daemon, |line| {
+        line["message"] == "table activated" && line["version"] == version
+    })
+}
+
+fn is_active_everywhere(setup: &Setup, version: u64) -> bool {
+    (0..setup.daemons.len()).all(|daemon| is_active(setup, daemon, version))
+}
+
+fn set_unavailable(setup: &Setup, is_unavailable: bool) {
+    setup.cluster.store.set_faults(StoreFaults { is_unavailable, ..StoreFaults::default() });
+}
+
+/// Takes the store away, and brings it back from a copy.
+fn restore(setup: &Setup, copy: &StoreCopy) {
+    set_unavailable(setup, true);
+    setup.cluster.store.restore(copy);
+    set_unavailable(setup, false);
+}
+
+fn beat(setup: &Setup, times: usize) {
+    for _ in 0..times {
+        setup.cluster.beat();
+    }
+}
+
+#[test]
+fn table_written_after_a_restore_reaches_daemons_that_follow_watchers() {
+    let setup = setup_large_fleet("restore-watchers");
+    let copy = setup.cluster.store.copy();
+    beat(&setup, HEARTBEATS);
+    setup.cluster.put_table(5, &["lost"]);
+    assert!(holds_within(CONDITION_TIMEOUT, || is_active_everywhere(&setup, 5)));
+
+    restore(&setup, &copy);
+    setup.cluster.put_table(5, &["lost"]);
+    setup.cluster.beat();
+    let has_listed = |daemon| {
+        setup.has_logged(daemon, |line| {
+            line["message"] == "the objects in the store were listed"
+                && line["kind"] == "Table"
+                && !line["before"].is_null()
+        })
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, || (0..LARGE_FLEET).any(has_listed)));
+    setup.cluster.put_table(8, &["lost", "fresh"]);
+
+    assert!(holds_within(TABLE_LIMIT, || is_active_everywhere(&setup, 8)));
+    setup.assert_no_violations();
+}
+
+#[test]
+fn table_written_at_a_revision_given_out_again_is_not_missed() {
+    let setup = setup("restore-revisions", 3);
+    let copy = setup.cluster.store.copy();
+    setup.cluster.beat();
+    setup.cluster.put_table(5, &["lost"]);
+    assert!(holds_within(CONDITION_TIMEOUT, || is_active_everywhere(&setup, 5)));
+
+    set_unavailable(&setup, true);
+    let lost = setup.cluster.store.revision();
+    setup.cluster.store.restore(&copy);
+    setup.cluster.put_table(8, &["lost", "fresh"]);
+    while setup.cluster.store.revision() <= lost {
+        setup.cluster.beat();
+    }
+    set_unavailable(&setup, false);
+
+    assert!(holds_within(TABLE_LIMIT, || is_active_everywhere(&setup, 8)));
+    setup.assert_no_violations();
+}
+
+#[test]
+fn fencing_token_of_a_lost_promotion_lock_is_not_used_again() {
+    let cluster =
+        LineCluster::start(1, 3, InstanceProfile::default()).expect("the fake platform starts");
+    let copy = cluster.store.copy();
+    let mut setup = setup_on("restore-token", 3, cluster);
+    let holds_lock = |setup: &Setup, daemon: usize| {
+        setup.has_logged(daemon, |line| line["message"] == "this daemon holds the duty")
+    };
+    let mut holder = None;
+    assert!(holds_within(CONDITION_TIMEOUT, || {
+        holder = (0..3).find(|daemon| holds_lock(&setup, *daemon));
+        holder.is_some()
+    }));
+    let holder = holder.unwrap_or_default();
+    setup.crash_primary();
+    setup.time_to_write((holder + 1) % 3, "first");
+    setup.restart_crashed();
+
+    restore(&setup, &copy);
+    setup.cluster.beat();
+    setup.daemons[holder].kill();
+    setup.crash_primary();
+    setup.time_to_write((holder + 1) % 3, "second");
+
+    setup.assert_no_violations();
+}
