Order revisions of the store by era first

Cause: a store that comes back from a copy counts its revisions from there. A watcher's feed at revision 36 told callers at 37 that they had everything, and watchers took a listing at 37 of before the restore for newer than theirs at 36. Ruled out: lost calls between daemons, and 410 alone; the log lines name the revisions on both sides. A revision is now the era, from the answer's header, and the number; it is ordered by the era first. Daemons of the build before send plain numbers, which are read as era zero.

--- a/crates/persimmon-interfaces/src/lib.rs
+++ b/crates/persimmon-interfaces/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod promote;
 mod protocol;
+mod revision;
 mod statement;
 mod store;
 mod topology;
@@ -19,6 +20,9 @@
     ClientMessage, ClientProtocol, Command, ErrorCode, InstanceProtocol, InstanceStatus,
     ProtocolError, Reply, TxStatus,
 };
+pub use revision::Revision;
 pub use statement::{Access, Query, Statement};
-pub use store::{Change, Changes, Listing, Object, ObjectKind, ObjectStore, StoreError};
+pub use store::{
+    Change, Changes, Listing, Object, ObjectKind, ObjectStore, ReadResult, StoreError,
+};
 pub use topology::{DecodeError, Freshness, Instance, ObjectDecoder, Role, Route, Service, Table};
--- a/crates/persimmon-interfaces/src/store.rs
+++ b/crates/persimmon-interfaces/src/store.rs
@@ -11,6 +11,8 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::revision::Revision;
+
 /// The kinds of objects that the proxy uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ObjectKind {
@@ -27,8 +29,8 @@
 pub struct Object {
     /// The object's name, unique within its kind.
     pub name: Arc<str>,
-    /// The store's revision at the object's last change.
-    pub revision: u64,
+    /// The store's revision at the object's last change, in the era of the answer that contained it.
+    pub revision: Revision,
     /// The object's value.
     pub value: Value,
 }
@@ -39,7 +41,7 @@
     /// The objects.
     pub objects: Vec<Object>,
     /// The store's revision; a watch continues from it.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A change of one object.
@@ -57,7 +59,16 @@
     /// The changes, oldest first.
     pub changes: Vec<Change>,
     /// The store's revision; the next watch continues from it.
-    pub revision: u64,
+    pub revision: Revision,
+}
+
+/// What reading one object found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReadResult {
+    /// The store's era when it answered.
+    pub era: u64,
+    /// The object; `None` if it does not exist.
+    pub object: Option<Object>,
 }
 
 /// Why a call to the store failed.
@@ -90,20 +101,21 @@
 
     /// Waits up to `wait` for changes of a kind after `revision`.
     ///
-    /// Fails with [`StoreError::HistoryGone`] if `revision` is too old.
+    /// Fails with [`StoreError::HistoryGone`] if `revision` is too old. If the returned changes have
+    /// another era than `revision`, changes between the two may be missing.
     fn watch(
         &self,
         kind: ObjectKind,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Changes, StoreError>>;
 
-    /// Reads one object; `None` if it does not exist.
+    /// Reads one object.
     fn read(
         &self,
         kind: ObjectKind,
         name: Arc<str>,
-    ) -> LocalBoxFuture<'_, Result<Option<Object>, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<ReadResult, StoreError>>;
 
     /// Writes an object on the condition that it has the revision `expect`, or with `None` that it
     /// does not exist. Returns the written object.
@@ -113,7 +125,7 @@
         &self,
         kind: ObjectKind,
         name: Arc<str>,
-        expect: Option<u64>,
+        expect: Option<Revision>,
         value: Value,
     ) -> LocalBoxFuture<'_, Result<Object, StoreError>>;
 }
--- a/crates/persimmon-ownership/src/change_feed.rs
+++ b/crates/persimmon-ownership/src/change_feed.rs
@@ -1,12 +1,13 @@
 //! Changes of objects of one kind, kept for callers that received a part of them.
 //!
 //! Invariant: a caller that has everything up to a revision receives every later change, or all
-//! objects.
+//! objects. Changes of another era of the store than a caller's are not a continuation of what it
+//! received, so that it receives all objects.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use persimmon_interfaces::{Change, Changes, Listing, Object};
+use persimmon_interfaces::{Change, Changes, Listing, Object, Revision};
 
 /// Number of batches of changes that are kept by default; a caller that lacks an older one gets all
 /// objects.
@@ -15,8 +16,8 @@
 #[derive(Debug)]
 struct Batch {
     /// The revision up to which a caller must have received changes for this batch to be the next.
-    after: u64,
-    revision: u64,
+    after: Revision,
+    revision: Revision,
     changes: Vec<Change>,
 }
 
@@ -34,7 +35,7 @@
 /// The objects of one kind and their latest changes.
 #[derive(Debug)]
 pub struct ChangeFeed {
-    revision: u64,
+    revision: Revision,
     objects: BTreeMap<Arc<str>, Object>,
     batches: VecDeque<Batch>,
     max_batches: usize,
@@ -51,7 +52,7 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            revision: 0,
+            revision: Revision::default(),
             objects: BTreeMap::new(),
             batches: VecDeque::new(),
             max_batches: DEFAULT_MAX_BATCHES,
@@ -68,21 +69,25 @@
 
     /// The revision up to which changes were received; zero before the first listing.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Replaces all objects.
+    /// Replaces all objects, unless the listing is older than what was received.
     pub fn apply_listing(&mut self, listing: &Listing) {
+        if listing.revision < self.revision {
+            return;
+        }
         self.batches.clear();
         self.revision = listing.revision;
         let objects = listing.objects.iter().map(|o| (Arc::clone(&o.name), o.clone()));
         self.objects = objects.collect();
     }
 
-    /// Applies what a watch returned, unless it is not newer than what was received.
+    /// Applies what a watch returned, unless it is not newer than what was received or does not
+    /// continue it.
     pub fn apply_changes(&mut self, changes: &Changes) {
-        if changes.revision <= self.revision {
+        if changes.revision <= self.revision || changes.revision.era != self.revision.era {
             return;
         }
         for change in &changes.changes {
@@ -108,10 +113,13 @@
 
     /// What a caller lacks that has everything up to `revision`.
     #[must_use]
-    pub fn since(&self, revision: u64) -> Since<'_> {
+    pub fn since(&self, revision: Revision) -> Since<'_> {
         if self.revision <= revision {
             return Since::Nothing;
         }
+        if self.revision.era != revision.era {
+            return Since::All(self.objects.values().collect());
+        }
         let newer = self.batches.iter().skip_while(|batch| batch.revision <= revision);
         let first_after = newer.clone().next().map_or(self.revision, |batch| batch.after);
         if first_after > revision {
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -8,7 +8,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, StoreError};
+use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, Revision, StoreError};
 use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
 use persimmon_types::Clock;
 use rand::Rng;
@@ -125,6 +125,7 @@
                 .push(async move { control.request_changes(peer, relayed, Some(revision)).await });
         }
         first = first.wrapping_add(COMPARED_WATCHERS);
+        follower.revision = Some(revision);
         while let Some(reply) = requests.next().await {
             match reply {
                 Ok(RelayReply::Changes(changes)) => {
@@ -136,8 +137,8 @@
                     if Some(listing.revision) > before {
                         tracing::info!(
                             ?kind,
-                            revision = listing.revision,
-                            before,
+                            revision = %listing.revision,
+                            before = before.map(tracing::field::display),
                             "the objects of another watcher replace those of this one"
                         );
                         follower.apply_listing(&listing);
@@ -176,9 +177,9 @@
     sources: SourceChooser,
     backoff: Backoff,
     /// The store's revision up to which changes were received; `None` before the first listing.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// The revision whose later changes the store no longer has, for the log.
-    gone_revision: Option<u64>,
+    gone_revision: Option<Revision>,
     may_be_stale: bool,
 }
 
@@ -254,10 +255,9 @@
                 }
             }
             Err(StoreError::HistoryGone) => {
-                tracing::info!(kind = ?self.kind,
-                    "the watched revision is no longer in the store's history; listing again");
-                self.gone_revision = self.revision.take();
-                self.may_be_stale = false;
+                self.forget_revision(
+                    "the watched revision is no longer in the store's history; listing again",
+                );
             }
             // A watch may be interrupted at any time; missed changes are in the history.
             Err(_) => {
@@ -267,15 +267,24 @@
         }
     }
 
+    /// Makes the next request one for all objects.
+    fn forget_revision(&mut self, why: &str) {
+        tracing::info!(kind = ?self.kind,
+            revision = self.revision.map(tracing::field::display), "{why}");
+        self.gone_revision = self.revision.take();
+        self.may_be_stale = false;
+    }
+
     async fn list(&mut self) -> Result<bool, StoreError> {
         let listing = self.control.platform.store.list(self.kind, self.may_be_stale).await?;
-        tracing::info!(kind = ?self.kind, revision = listing.revision, before = self.gone_revision,
+        tracing::info!(kind = ?self.kind, revision = %listing.revision,
+            before = self.gone_revision.map(tracing::field::display),
             objects = listing.objects.len(), "the objects in the store were listed");
         self.apply_listing(&listing);
         Ok(false)
     }
 
-    async fn watch(&mut self, revision: u64, wait: Duration) -> Result<bool, StoreError> {
+    async fn watch(&mut self, revision: Revision, wait: Duration) -> Result<bool, StoreError> {
         let changes = self.control.platform.store.watch(self.kind, revision, wait).await?;
         let has_changes = !changes.changes.is_empty();
         self.apply_changes(&changes);
@@ -313,6 +322,7 @@
     }
 
     fn apply_listing(&mut self, listing: &Listing) {
+        self.control.record_era(listing.revision.era, "listing");
         self.revision = Some(listing.revision);
         if let Ok(kind) = RelayedKind::try_from(self.kind) {
             self.control.relay.apply_listing(kind, listing);
@@ -332,7 +342,13 @@
     }
 
     fn apply_changes(&mut self, changes: &Changes) {
-        self.revision = self.revision.max(Some(changes.revision));
+        self.control.record_era(changes.revision.era, "changes");
+        let Some(revision) = self.revision.filter(|r| r.era == changes.revision.era) else {
+            // The changes do not continue what was received, so that some may be missing.
+            self.forget_revision("the changes are of another era of the store; listing again");
+            return;
+        };
+        self.revision = Some(revision.max(changes.revision));
         if let Ok(kind) = RelayedKind::try_from(self.kind) {
             self.control.relay.apply_changes(kind, changes);
         }
@@ -364,7 +380,7 @@
     match control.object_decoder.decode_table(object) {
         Ok(table) => control.activate_table(table, "store"),
         Err(err) => {
-            tracing::error!(revision = object.revision, problem = %err,
+            tracing::error!(revision = %object.revision, problem = %err,
                 "the table in the store is invalid and ignored");
         }
     }
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
-use persimmon_interfaces::{InstanceProtocol, ObjectDecoder, Table};
+use persimmon_interfaces::{InstanceProtocol, ObjectDecoder, Revision, Table};
 use persimmon_ownership::WatcherFailure;
 use tarpc::context;
 use tokio::sync::{mpsc, watch};
@@ -65,6 +65,8 @@
     /// Whether the store answered the latest call that ended, of this daemon or of the watcher that
     /// it follows.
     is_store_answering: Cell<bool>,
+    /// The highest era that the store or a watcher has named.
+    store_era: watch::Sender<u64>,
     /// Changes of the store's objects for daemons that do not watch it.
     pub(crate) relay: Arc<Relay>,
     /// Connections to the watchers that this daemon follows.
@@ -137,6 +139,15 @@
         }
     }
 
+    /// Records the era of an answer of the store, or of a watcher.
+    pub(crate) fn record_era(&self, era: u64, source: &str) {
+        let before = *self.store_era.borrow();
+        if era > before {
+            self.store_era.send_replace(era);
+            tracing::info!(era, before, source, "the store is in a later era");
+        }
+    }
+
     /// Records whether a watcher of the store provided its changes.
     pub(crate) fn record_source(&self, failure: Option<WatcherFailure>) {
         let was_reachable = self.is_store_answering.replace(failure.is_none());
@@ -150,7 +161,7 @@
         &self,
         peer: SocketAddr,
         kind: RelayedKind,
-        revision: Option<u64>,
+        revision: Option<Revision>,
     ) -> Result<RelayReply, PeerError> {
         let call = async {
             let known = self.watchers.borrow().get(&peer).cloned();
@@ -162,7 +173,7 @@
                     client
                 }
             };
-            let revision = revision.unwrap_or_default();
+            let revision = revision.unwrap_or_default().into();
             Ok(client.changes(context::current(), kind, revision).await?)
         };
         let answer = tokio::time::timeout(WATCHER_TIMEOUT, call).await;
@@ -206,6 +217,7 @@
         directory: RefCell::new(directory),
         has_directory: Cell::new(false),
         is_store_answering: Cell::new(false),
+        store_era: watch::Sender::new(0),
         relay: Arc::new(Relay::new()),
         watchers: RefCell::default(),
         published: Arc::default(),
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -11,7 +11,7 @@
 
 use futures::StreamExt;
 use futures::future::join_all;
-use persimmon_interfaces::{Instance, Table};
+use persimmon_interfaces::{Instance, Revision, Table};
 use persimmon_ownership::Member;
 use persimmon_types::Clock;
 use rand::Rng;
@@ -26,10 +26,11 @@
 use crate::control::Control;
 use crate::peer_list::PeerList;
 use crate::peer_service::{
-    DaemonState, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample, connect,
+    DaemonState, EntryOrigin, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample,
+    connect,
 };
 use crate::reachability::Reachability;
-use crate::relay::{Relay, RelayReply, RelayedKind};
+use crate::relay::{Relay, RelayReply, RelayedKind, WireRevision};
 use crate::sampling::LatestSamples;
 use crate::traffic::Suspicion;
 use crate::wire_member::{WireMember, WireMembers};
@@ -90,12 +91,13 @@
     pub(crate) fn put(
         &self,
         table: Option<&Table>,
-        instances: Vec<(u64, Instance)>,
+        instances: Vec<(Revision, Instance)>,
         is_current: bool,
     ) {
         let mut state = lock(&self.state);
         state.table = table.cloned();
-        state.instances = instances;
+        state.origins = instances.iter().map(|(r, _)| EntryOrigin { era: r.era }).collect();
+        state.instances = instances.into_iter().map(|(r, i)| (r.number, i)).collect();
         state.is_current = is_current;
     }
 }
@@ -138,8 +140,13 @@
         }
     }
 
-    async fn changes(self, _: context::Context, kind: RelayedKind, revision: u64) -> RelayReply {
-        self.relay.wait(kind, revision).await
+    async fn changes(
+        self,
+        _: context::Context,
+        kind: RelayedKind,
+        revision: WireRevision,
+    ) -> RelayReply {
+        self.relay.wait(kind, revision.into()).await
     }
 
     async fn suspect(self, _: context::Context, service: Arc<str>, instance: Arc<str>) {
@@ -400,7 +407,9 @@
         return;
     }
     let mut changed = false;
-    for (revision, instance) in state.instances {
+    let origins = state.origins.into_iter().chain(std::iter::repeat(EntryOrigin::default()));
+    for ((number, instance), origin) in state.instances.into_iter().zip(origins) {
+        let revision = Revision::new(origin.era, number);
         changed |= control.directory.borrow_mut().merge_entry(revision, instance);
     }
     let is_first = !control.has_directory.replace(true);
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{Object, ObjectKind, PromoteError, PromotionRequest, Role, StoreError};
+use persimmon_interfaces::{
+    Object, ObjectKind, PromoteError, PromotionRequest, ReadResult, Role, StoreError,
+};
 use persimmon_promotion::{
     Action, Asked, Input, PrimaryInfo, PromotionCoordinator, PromotionLockRecord,
 };
@@ -227,7 +229,7 @@
     let read = store.read(ObjectKind::Duties, Arc::clone(service)).await;
     control.record_store_call("read", read.as_ref().err());
     let object = match read {
-        Ok(object) => object,
+        Ok(ReadResult { object, .. }) => object,
         Err(err) => {
             tracing::info!(%service, error = %err, "the promotion lock could not be read");
             return Input::NotClaimed;
@@ -281,7 +283,7 @@
 ) -> Input {
     let read = control.platform.store.read(ObjectKind::Duties, Arc::clone(service)).await;
     control.record_store_call("read", read.as_ref().err());
-    let record = read.ok().flatten().as_ref().and_then(parse_lock_record);
+    let record = read.ok().and_then(|read| read.object).as_ref().and_then(parse_lock_record);
     let is_own = record.as_ref().is_some_and(|r| {
         r.is_held_by(&control.settings.name, control.incarnation) && r.token == fencing_token
     });
@@ -323,7 +325,8 @@
     let (control, service) = (Rc::clone(control), Arc::clone(service));
     ntex::rt::spawn(async move {
         let store = &control.platform.store;
-        let Ok(Some(object)) = store.read(ObjectKind::Duties, Arc::clone(&service)).await else {
+        let read = store.read(ObjectKind::Duties, Arc::clone(&service)).await;
+        let Ok(ReadResult { object: Some(object), .. }) = read else {
             return;
         };
         let Some(record) = parse_lock_record(&object).filter(|r| r.token == fencing_token) else {
--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{Change, Instance, Listing, Object, ObjectDecoder};
+use persimmon_interfaces::{Change, Instance, Listing, Object, ObjectDecoder, Revision};
 use persimmon_types::Time;
 
 use crate::snapshot::DirectoryEntry;
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     instance: Arc<Instance>,
-    revision: u64,
+    revision: Revision,
     missing_for: Option<Duration>,
 }
 
@@ -47,7 +47,7 @@
     missing_retention: Duration,
     entries: HashMap<Arc<str>, Entry>,
     /// Revisions of removed entries, so that a delayed write does not restore them.
-    removed: HashMap<Arc<str>, u64>,
+    removed: HashMap<Arc<str>, Revision>,
     ticked_at: Option<Time>,
 }
 
@@ -97,7 +97,7 @@
             return false;
         }
         entry.missing_for = Some(Duration::ZERO);
-        tracing::info!(instance = %id, revision = entry.revision,
+        tracing::info!(instance = %id, revision = %entry.revision,
             "an instance's entry is missing from the directory");
         true
     }
@@ -111,7 +111,7 @@
         let instance = match object_decoder.decode_instance(object) {
             Ok(instance) => instance,
             Err(err) => {
-                tracing::warn!(revision = object.revision, problem = %err,
+                tracing::warn!(revision = %object.revision, problem = %err,
                     "the directory entry is invalid and treated as missing");
                 return self.mark_missing(&object.name);
             }
@@ -120,7 +120,7 @@
     }
 
     /// Merges an entry received from a peer; returns whether it changed anything.
-    pub fn merge_entry(&mut self, revision: u64, instance: Instance) -> bool {
+    pub fn merge_entry(&mut self, revision: Revision, instance: Instance) -> bool {
         let known = self.entries.get(&instance.id).map(|e| e.revision);
         let min_revision = known.or_else(|| self.removed.get(&instance.id).copied());
         if min_revision.is_some_and(|min_revision| min_revision >= revision) {
@@ -129,7 +129,7 @@
         self.insert(revision, instance)
     }
 
-    fn insert(&mut self, revision: u64, instance: Instance) -> bool {
+    fn insert(&mut self, revision: Revision, instance: Instance) -> bool {
         let entry = Entry { instance: Arc::new(instance), revision, missing_for: None };
         let before = self.entries.get(&entry.instance.id);
         let changed =
@@ -139,7 +139,7 @@
             tracing::info!(
                 instance = %instance.id, service = %instance.service, address = %instance.address,
                 role = ?instance.role, draining = instance.is_draining, born = instance.born_ms,
-                revision = entry.revision, "the directory changed"
+                revision = %entry.revision, "the directory changed"
             );
         }
         self.entries.insert(Arc::clone(&entry.instance.id), entry);
@@ -148,7 +148,7 @@
 
     /// All entries that are not missing, with their revisions.
     #[must_use]
-    pub fn entries(&self) -> Vec<(u64, Instance)> {
+    pub fn entries(&self) -> Vec<(Revision, Instance)> {
         let listed = self.entries.values().filter(|e| e.missing_for.is_none());
         listed.map(|e| (e.revision, (*e.instance).clone())).collect()
     }
@@ -173,7 +173,7 @@
             }
         }
         for (id, revision) in &expired {
-            tracing::info!(instance = %id, revision,
+            tracing::info!(instance = %id, %revision,
                 "a missing instance was removed from the directory");
             self.entries.remove(id);
             self.removed.insert(Arc::clone(id), *revision);
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 use crate::metrics::Metrics;
-use crate::relay::{RelayReply, RelayedKind};
+use crate::relay::{RelayReply, RelayedKind, WireRevision};
 use crate::wire_member::{WireMember, WireMembers};
 
 /// Maximum message size in bytes, enough for a table of some thousand routes.
@@ -22,14 +22,23 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct DaemonState {
     pub(crate) table: Option<Table>,
-    /// The instances with the revisions of their entries.
+    /// The instances with the numbers of their entries' revisions.
     pub(crate) instances: Vec<(u64, Instance)>,
+    /// The rest of what orders each entry of `instances`; empty from a daemon that knows of no eras.
+    #[serde(default)]
+    pub(crate) origins: Vec<EntryOrigin>,
     /// The daemon itself and the peers that it knows; absent before it is sent.
     pub(crate) introduction: Option<Introduction>,
     /// Whether the store answered the daemon's latest call to it.
     pub(crate) is_current: bool,
 }
 
+/// From which era of the store a directory entry comes.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct EntryOrigin {
+    pub(crate) era: u64,
+}
+
 /// A daemon, and the members that it knows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Introduction {
@@ -58,7 +67,7 @@
     async fn meet(from: WireMember, members: u64) -> Introduction;
 
     /// Waits for changes of the store's objects after `revision`; zero requests a listing.
-    async fn changes(kind: RelayedKind, revision: u64) -> RelayReply;
+    async fn changes(kind: RelayedKind, revision: WireRevision) -> RelayReply;
 
     /// Tells a daemon that may hold the promotion lock of a service that statements fail at its
     /// primary.
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind};
+use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind, Revision};
 use persimmon_ownership::{ChangeFeed, Since};
 use persimmon_types::Clock;
 use serde::{Deserialize, Serialize};
@@ -33,10 +33,35 @@
     }
 }
 
+/// A revision between daemons. Daemons of a store without eras exchange its number alone, as those
+/// do that know of no eras.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum WireRevision {
+    Number(u64),
+    WithEra(u64, u64),
+}
+
+impl From<Revision> for WireRevision {
+    fn from(revision: Revision) -> Self {
+        let Revision { era, number } = revision;
+        if era == 0 { Self::Number(number) } else { Self::WithEra(era, number) }
+    }
+}
+
+impl From<WireRevision> for Revision {
+    fn from(wire: WireRevision) -> Self {
+        match wire {
+            WireRevision::Number(number) => Self::new(0, number),
+            WireRevision::WithEra(era, number) => Self::new(era, number),
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct WireObject {
     name: Arc<str>,
-    revision: u64,
+    revision: WireRevision,
     value: Value,
 }
 
@@ -44,7 +69,7 @@
     fn from(object: &Object) -> Self {
         Self {
             name: Arc::clone(&object.name),
-            revision: object.revision,
+            revision: object.revision.into(),
             value: object.value.clone(),
         }
     }
@@ -52,7 +77,7 @@
 
 impl From<WireObject> for Object {
     fn from(wire: WireObject) -> Self {
-        Self { name: wire.name, revision: wire.revision, value: wire.value }
+        Self { name: wire.name, revision: wire.revision.into(), value: wire.value }
     }
 }
 
@@ -84,13 +109,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct WireChanges {
     changes: Vec<WireChange>,
-    revision: u64,
+    revision: WireRevision,
 }
 
 impl From<WireChanges> for Changes {
     fn from(wire: WireChanges) -> Self {
         let changes = wire.changes.into_iter().map(Change::from).collect();
-        Self { changes, revision: wire.revision }
+        Self { changes, revision: wire.revision.into() }
     }
 }
 
@@ -98,13 +123,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct WireListing {
     objects: Vec<WireObject>,
-    revision: u64,
+    revision: WireRevision,
 }
 
 impl From<WireListing> for Listing {
     fn from(wire: WireListing) -> Self {
         let objects = wire.objects.into_iter().map(Object::from).collect();
-        Self { objects, revision: wire.revision }
+        Self { objects, revision: wire.revision.into() }
     }
 }
 
@@ -138,25 +163,27 @@
     state: FeedState,
     changes: ChangeFeed,
     /// The revision of the latest caller that was ahead of the feed; bounds the log.
-    logged_ahead: u64,
+    logged_ahead: Revision,
 }
 
 impl Feed {
     /// Logs that a caller has a higher revision than this feed, once for each such revision.
-    fn log_caller_ahead(&mut self, kind: RelayedKind, revision: u64) {
+    fn log_caller_ahead(&mut self, kind: RelayedKind, revision: Revision) {
         let newest = self.changes.revision();
         if revision > newest && revision != self.logged_ahead {
             self.logged_ahead = revision;
-            tracing::info!(?kind, requested = revision, newest, state = ?self.state,
+            tracing::info!(?kind, requested = %revision, %newest, state = ?self.state,
                 "a daemon requests changes since a revision that this watcher has not reached");
         }
     }
 
     /// The reply to a caller that has everything up to `revision`; `None` if it has to wait.
-    fn reply(&self, revision: u64) -> Option<RelayReply> {
+    fn reply(&self, revision: Revision) -> Option<RelayReply> {
         match self.state {
             FeedState::NotWatching => return Some(RelayReply::NotWatching),
-            FeedState::StoreDown | FeedState::Live if self.changes.revision() == 0 => return None,
+            FeedState::StoreDown | FeedState::Live if self.changes.revision().is_zero() => {
+                return None;
+            }
             FeedState::StoreDown => return Some(RelayReply::StoreDown),
             FeedState::Live => {}
         }
@@ -165,11 +192,11 @@
             Since::Nothing => None,
             Since::Changes(changes) => {
                 let changes = changes.into_iter().map(WireChange::from).collect();
-                Some(RelayReply::Changes(WireChanges { changes, revision: newest }))
+                Some(RelayReply::Changes(WireChanges { changes, revision: newest.into() }))
             }
             Since::All(objects) => {
                 let objects = objects.into_iter().map(WireObject::from).collect();
-                Some(RelayReply::Listing(WireListing { objects, revision: newest }))
+                Some(RelayReply::Listing(WireListing { objects, revision: newest.into() }))
             }
         }
     }
@@ -209,11 +236,11 @@
     }
 
     /// The revision up to which this daemon has received changes; `None` before the first listing.
-    pub(crate) fn revision(&self, kind: RelayedKind) -> Option<u64> {
-        Some(self.feed(kind).changes.revision()).filter(|revision| *revision > 0)
+    pub(crate) fn revision(&self, kind: RelayedKind) -> Option<Revision> {
+        Some(self.feed(kind).changes.revision()).filter(|revision| !revision.is_zero())
     }
 
-    /// Replaces all objects of a kind.
+    /// Replaces all objects of a kind, unless the listing is older than what was received.
     pub(crate) fn apply_listing(&self, kind: RelayedKind, listing: &Listing) {
         self.feed(kind).changes.apply_listing(listing);
         self.changed.notify_waiters();
@@ -226,7 +253,7 @@
     }
 
     /// The changes since a revision, as soon as there are any.
-    pub(crate) async fn wait(&self, kind: RelayedKind, revision: u64) -> RelayReply {
+    pub(crate) async fn wait(&self, kind: RelayedKind, revision: Revision) -> RelayReply {
         let deadline = Clock.now() + WAIT_LIMIT;
         let state = {
             let mut feed = self.feed(kind);
@@ -251,6 +278,7 @@
                 if is_down {
                     return RelayReply::StoreDown;
                 }
+                let revision = revision.into();
                 return RelayReply::Changes(WireChanges { changes: Vec::new(), revision });
             }
             // A timeout only makes the loop check again.
--- a/crates/persimmon-proxy/src/snapshot.rs
+++ b/crates/persimmon-proxy/src/snapshot.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{Instance, Role, Table};
+use persimmon_interfaces::{Instance, Revision, Role, Table};
 
 /// An instance in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,7 +12,7 @@
     /// The latest valid entry.
     pub instance: Arc<Instance>,
     /// The store's revision of that entry.
-    pub revision: u64,
+    pub revision: Revision,
     /// How long the entry has been missing while the store answered.
     pub missing_for: Option<Duration>,
 }
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{
-    Change, DecodeError, Instance, Listing, Object, ObjectDecoder, Role, Table,
+    Change, DecodeError, Instance, Listing, Object, ObjectDecoder, Revision, Role, Table,
 };
 use persimmon_proxy::{Directory, RoutingSnapshot};
 use persimmon_types::Time;
@@ -31,6 +31,10 @@
     }
 }
 
+fn at_revision(number: u64) -> Revision {
+    Revision::new(1, number)
+}
+
 fn entry(id: &str, revision: u64, role: Role) -> Object {
     let instance = Instance {
         id: Arc::from(id),
@@ -43,7 +47,7 @@
         born_ms: 1,
     };
     let value = serde_json::to_value(&instance).expect("an entry");
-    Object { name: Arc::from(id), revision, value }
+    Object { name: Arc::from(id), revision: at_revision(revision), value }
 }
 
 fn at(ms: u64) -> Time {
@@ -52,7 +56,7 @@
 
 fn directory(drain_limit_ms: u64, objects: Vec<Object>) -> Directory {
     let mut directory = Directory::new(Duration::from_millis(drain_limit_ms));
-    directory.apply_listing(&IdentityDecoder, &Listing { objects, revision: 10 });
+    directory.apply_listing(&IdentityDecoder, &Listing { objects, revision: at_revision(10) });
     directory
 }
 
