Check the store's era before a watch waits again

Callers of daemons that watch the store themselves could be routed by an old table for up to 29 s: a store that was restored, and has since counted past the watched revision, accepts the watch without status 410, and what was written at a lower number is not delivered. Cost: a call for each kind, watcher and outage.

--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -30,6 +30,9 @@
 /// and the watchers may answer again meanwhile.
 const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_millis(300);
 
+/// How long a watch waits that only checks whether the store still has the watched revision.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
+
 /// The key by which the daemons that watch the store are chosen.
 const WATCHER_KEY: &str = "watchers of the store";
 
@@ -181,6 +184,8 @@
     /// The revision whose later changes the store no longer has, for the log.
     gone_revision: Option<Revision>,
     may_be_stale: bool,
+    /// Whether the store's latest answer was of the era of `revision`.
+    is_era_checked: bool,
 }
 
 impl<'a> Follower<'a> {
@@ -196,6 +201,7 @@
             // The watch that follows delivers what a stale listing misses, unless the history is
             // gone.
             may_be_stale: true,
+            is_era_checked: false,
         }
     }
 
@@ -226,6 +232,7 @@
                 self.follow_store(SUBSTITUTE_WATCH_WAIT).await;
             }
             WatchSource::Watcher(peer) => {
+                self.is_era_checked = false;
                 self.set_feed_state(FeedState::NotWatching);
                 self.follow_watcher(peer).await;
             }
@@ -241,10 +248,21 @@
 
     /// Lists the objects in the store if none were received yet, or watches them.
     async fn follow_store(&mut self, wait: Duration) {
+        let control = self.control;
+        // A store that was restored may have given the watched revision out again, and would then
+        // accept the watch and wait for later changes without telling its era.
+        let wait = if self.is_era_checked { wait } else { wait.min(CHECK_WAIT) };
         let (call, result) = match self.revision {
             None => ("list", self.list().await),
-            Some(revision) => ("watch", self.watch(revision, wait).await),
+            Some(revision) => {
+                let result = tokio::select! {
+                    result = self.watch(revision, wait) => result,
+                    () = control.wait_for_era_after(revision.era) => Err(StoreError::HistoryGone),
+                };
+                ("watch", result)
+            }
         };
+        self.is_era_checked = result.is_ok();
         self.control.record_store_call(call, result.as_ref().err());
         match result {
             Ok(has_changes) => {
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -148,6 +148,13 @@
         }
     }
 
+    /// Waits until an answer has named a later era than `era`.
+    pub(crate) async fn wait_for_era_after(&self, era: u64) {
+        let mut eras = self.store_era.subscribe();
+        // The sender lives as long as this value, so that waiting cannot fail.
+        let _ = eras.wait_for(|latest| *latest > era).await;
+    }
+
     /// Records whether a watcher of the store provided its changes.
     pub(crate) fn record_source(&self, failure: Option<WatcherFailure>) {
         let was_reachable = self.is_store_answering.replace(failure.is_none());
