Put the store's era into fencing tokens, and renew locks after a restore

Tokens of an era now start above all tokens of the eras before, an acquisition whose read and write are of two eras is not used, and a record read back in a later era proves nothing.

--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -141,13 +141,18 @@
 
     /// Records the era of an answer of the store, or of a watcher.
     pub(crate) fn record_era(&self, era: u64, source: &str) {
-        let before = *self.store_era.borrow();
+        let before = self.store_era();
         if era > before {
             self.store_era.send_replace(era);
             tracing::info!(era, before, source, "the store is in a later era");
         }
     }
 
+    /// The highest era that an answer has named.
+    pub(crate) fn store_era(&self) -> u64 {
+        *self.store_era.borrow()
+    }
+
     /// Waits until an answer has named a later era than `era`.
     pub(crate) async fn wait_for_era_after(&self, era: u64) {
         let mut eras = self.store_era.subscribe();
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -39,6 +39,9 @@
 /// promotion, so that its request can take effect.
 const PROMOTION_GRACE_MS: u64 = 2_500;
 
+/// Shortest interval between two attempts to acquire a promotion lock again after a restore.
+const LOCK_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Shortest interval between two reports of suspicions of one service's primary.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -48,6 +51,11 @@
     service: Arc<str>,
     /// When a suspicion was last reported to the daemons that may hold the promotion lock.
     reported_at: Cell<Time>,
+    /// The store's era in which this daemon last acquired the promotion lock, or lost it to
+    /// another.
+    lock_era: Cell<u64>,
+    /// When the promotion lock may next be acquired again after a restore of the store.
+    renewal_at: Cell<Time>,
 }
 
 /// Runs all coordinators until the process ends.
@@ -117,6 +125,8 @@
                 probes: ProbeConnections::default(),
                 service: Arc::clone(name),
                 reported_at: Cell::default(),
+                lock_era: Cell::default(),
+                renewal_at: Cell::default(),
             });
             acquire_initial_lock(control, &running);
             running
@@ -126,6 +136,7 @@
         if entry.coordinator.borrow().is_idle() {
             entry.probes.clear();
         }
+        renew_lock_after_restore(control, entry, now);
         handle_input(control, entry, Input::Tick);
     }
 }
@@ -146,7 +157,25 @@
     }
     let (control, running) = (Rc::clone(control), Rc::clone(running));
     ntex::rt::spawn(async move {
-        let input = acquire_lock(&control, &running.service).await;
+        let input = acquire_lock(&control, &running, false).await;
+        handle_input(&control, &running, input);
+    });
+}
+
+/// Acquires a promotion lock again that this daemon holds and that the store may have forgotten: a
+/// daemon that reads no record would act beside this one.
+fn renew_lock_after_restore(control: &Rc<Control>, running: &Rc<RunningCoordinator>, now: Time) {
+    let is_held = {
+        let coordinator = running.coordinator.borrow();
+        coordinator.is_idle() && coordinator.fencing_token().is_some()
+    };
+    if !is_held || running.lock_era.get() >= control.store_era() || now < running.renewal_at.get() {
+        return;
+    }
+    running.renewal_at.set(now + LOCK_RENEWAL_INTERVAL);
+    let (control, running) = (Rc::clone(control), Rc::clone(running));
+    ntex::rt::spawn(async move {
+        let input = acquire_lock(&control, &running, true).await;
         handle_input(&control, &running, input);
     });
 }
@@ -210,7 +239,7 @@
             Input::Canvassed { failing, answered }
         }
         Action::QueryInstances => Input::Asked(query_instances(control, running).await),
-        Action::AcquireLock => acquire_lock(control, &running.service).await,
+        Action::AcquireLock => acquire_lock(control, running, false).await,
         Action::RequestPromotion { candidate, fencing_token } => {
             request_promotion(control, running, candidate, fencing_token).await
         }
@@ -223,20 +252,32 @@
         .ok()
 }
 
-/// Acquires the promotion lock of a service by a conditional write.
-async fn acquire_lock(control: &Control, service: &Arc<str>) -> Input {
+/// Acquires the promotion lock of a service by a conditional write. With `is_renewal`, the lock is
+/// left to a daemon that has acquired it in the store's present era.
+async fn acquire_lock(control: &Control, running: &RunningCoordinator, is_renewal: bool) -> Input {
+    let service = &running.service;
     let store = &control.platform.store;
     let read = store.read(ObjectKind::Duties, Arc::clone(service)).await;
     control.record_store_call("read", read.as_ref().err());
-    let object = match read {
-        Ok(ReadResult { object, .. }) => object,
+    let ReadResult { era, object } = match read {
+        Ok(read) => read,
         Err(err) => {
             tracing::info!(%service, error = %err, "the promotion lock could not be read");
             return Input::NotClaimed;
         }
     };
+    control.record_era(era, "read");
     let before = object.as_ref().and_then(parse_lock_record);
     let now = Clock.wall_ms();
+    let is_taken = |r: &PromotionLockRecord| {
+        r.era() == era && !r.is_held_by(&control.settings.name, control.incarnation)
+    };
+    if let Some(before) = before.as_ref().filter(|r| is_renewal && is_taken(r)) {
+        tracing::info!(%service, holder = %before.holder, token = before.token, era,
+            "another daemon acquired the promotion lock after the store was restored");
+        running.lock_era.set(era);
+        return Input::Refused;
+    }
     if let Some(before) = &before
         && before.incarnation != control.incarnation
         && now.abs_diff(before.ordered_ms) < PROMOTION_GRACE_MS
@@ -246,7 +287,8 @@
         return Input::NotClaimed;
     }
     let name = &control.settings.name;
-    let record = PromotionLockRecord::acquired(before.as_ref(), name, control.incarnation, now);
+    let record =
+        PromotionLockRecord::acquired(before.as_ref(), era, name, control.incarnation, now);
     let fencing_token = record.token;
     let Ok(value) = serde_json::to_value(&record) else {
         return Input::NotClaimed;
@@ -255,12 +297,24 @@
     let written = store.write(ObjectKind::Duties, Arc::clone(service), expect, value).await;
     control.record_store_call("write", written.as_ref().err().filter(|e| is_outage(e)));
     match written {
+        Ok(object) if object.revision.era != era => {
+            // The store was restored between the two calls, and may have forgotten an acquisition
+            // with the same token.
+            tracing::info!(%service, token = fencing_token, era, written_in = object.revision.era,
+                "the promotion lock was acquired across a restore of the store and is not used");
+            Input::NotClaimed
+        }
         Ok(_) => {
-            tracing::info!(%service, token = fencing_token, "this daemon holds the duty");
+            running.lock_era.set(era);
+            tracing::info!(%service, token = fencing_token, era, "this daemon holds the duty");
             Input::Claimed { token: fencing_token }
         }
         Err(StoreError::Unavailable(why)) => {
-            verify_lock(control, service, fencing_token, &why).await
+            let input = verify_lock(control, service, fencing_token, era, &why).await;
+            if matches!(input, Input::Claimed { .. }) {
+                running.lock_era.set(era);
+            }
+            input
         }
         Err(err) => {
             tracing::info!(%service, token = fencing_token, error = %err,
@@ -279,11 +333,15 @@
     control: &Control,
     service: &Arc<str>,
     fencing_token: u64,
+    era: u64,
     why: &str,
 ) -> Input {
     let read = control.platform.store.read(ObjectKind::Duties, Arc::clone(service)).await;
     control.record_store_call("read", read.as_ref().err());
-    let record = read.ok().and_then(|read| read.object).as_ref().and_then(parse_lock_record);
+    // A record that is read in a later era may be that of a write which the store has forgotten, or
+    // which took effect after the restore.
+    let read = read.ok().filter(|read| read.era == era);
+    let record = read.and_then(|read| read.object).as_ref().and_then(parse_lock_record);
     let is_own = record.as_ref().is_some_and(|r| {
         r.is_held_by(&control.settings.name, control.incarnation) && r.token == fencing_token
     });
--- a/crates/persimmond/tests/restored_store.rs
+++ b/crates/persimmond/tests/restored_store.rs
@@ -127,3 +127,26 @@
 
     setup.assert_no_violations();
 }
+
+#[test]
+fn holder_of_a_lost_promotion_lock_acquires_it_again() {
+    let cluster =
+        LineCluster::start(1, 3, InstanceProfile::default()).expect("the fake platform starts");
+    let copy = cluster.store.copy();
+    let setup = setup_on("restore-holder", 3, cluster);
+    let holds_lock_in = |daemon: usize, era: u64| {
+        setup.has_logged(daemon, |line| {
+            line["message"] == "this daemon holds the duty" && line["era"] == era
+        })
+    };
+    let holders =
+        |era: u64| (0..3).filter(|daemon| holds_lock_in(*daemon, era)).collect::<Vec<_>>();
+    assert!(holds_within(CONDITION_TIMEOUT, || !holders(1).is_empty()));
+
+    restore(&setup, &copy);
+    setup.cluster.beat();
+
+    assert!(holds_within(CONDITION_TIMEOUT, || !holders(2).is_empty()));
+    assert_eq!(holders(2), holders(1));
+    setup.assert_no_violations();
+}
