Order reports of an instance by its own counter across a restore

After a restore the store lists entries of the copy, which instances have replaced since. They were taken for newer: a draining or removed instance got work again, and an instance that had lost the lead counted as the primary until it wrote again. An entry of a listing of a later era is compared by the start time and the counter of its process; what is written after the listing is taken whatever its number. A daemon that started in between takes newer reports of peers. Entries without a counter are ordered by revision as before.

--- a/crates/persimmon-interfaces/src/lib.rs
+++ b/crates/persimmon-interfaces/src/lib.rs
@@ -25,4 +25,6 @@
 pub use store::{
     Change, Changes, Listing, Object, ObjectKind, ObjectStore, ReadResult, StoreError,
 };
-pub use topology::{DecodeError, Freshness, Instance, ObjectDecoder, Role, Route, Service, Table};
+pub use topology::{
+    DecodeError, Freshness, Instance, InstanceReport, ObjectDecoder, Role, Route, Service, Table,
+};
--- a/crates/persimmon-interfaces/src/topology.rs
+++ b/crates/persimmon-interfaces/src/topology.rs
@@ -105,6 +105,15 @@
     pub born_ms: u64,
 }
 
+/// What an instance wrote of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceReport {
+    /// The instance.
+    pub instance: Instance,
+    /// Rises with each report of one process of the instance.
+    pub sequence: u64,
+}
+
 /// The error for an object of the store that cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("object {name}: {problem}")]
@@ -132,5 +141,5 @@
     /// # Errors
     ///
     /// Returns an error if the entry doesn't describe a usable instance.
-    fn decode_instance(&self, object: &Object) -> Result<Instance, DecodeError>;
+    fn decode_instance(&self, object: &Object) -> Result<InstanceReport, DecodeError>;
 }
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -24,6 +24,7 @@
 
 use crate::connection::BackendConnection;
 use crate::control::Control;
+use crate::directory::EntryVersion;
 use crate::peer_list::PeerList;
 use crate::peer_service::{
     DaemonState, EntryOrigin, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample,
@@ -91,13 +92,16 @@
     pub(crate) fn put(
         &self,
         table: Option<&Table>,
-        instances: Vec<(Revision, Instance)>,
+        instances: Vec<(EntryVersion, Instance)>,
         is_current: bool,
     ) {
         let mut state = lock(&self.state);
         state.table = table.cloned();
-        state.origins = instances.iter().map(|(r, _)| EntryOrigin { era: r.era }).collect();
-        state.instances = instances.into_iter().map(|(r, i)| (r.number, i)).collect();
+        let origins = instances
+            .iter()
+            .map(|(v, _)| EntryOrigin { era: v.revision.era, sequence: v.sequence });
+        state.origins = origins.collect();
+        state.instances = instances.into_iter().map(|(v, i)| (v.revision.number, i)).collect();
         state.is_current = is_current;
     }
 }
@@ -409,8 +413,12 @@
     let mut changed = false;
     let origins = state.origins.into_iter().chain(std::iter::repeat(EntryOrigin::default()));
     for ((number, instance), origin) in state.instances.into_iter().zip(origins) {
-        let revision = Revision::new(origin.era, number);
-        changed |= control.directory.borrow_mut().merge_entry(revision, instance);
+        let version = EntryVersion {
+            revision: Revision::new(origin.era, number),
+            born_ms: instance.born_ms,
+            sequence: origin.sequence,
+        };
+        changed |= control.directory.borrow_mut().merge_entry(version, instance);
     }
     let is_first = !control.has_directory.replace(true);
     if changed || is_first {
--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -2,15 +2,20 @@
 //!
 //! Invariants:
 //!
-//! - An entry never returns to an older revision.
+//! - An entry never returns to an older revision. Of two eras of the store, the instance's own
+//!   counter of reports decides, because a store that was restored from a copy lists entries that
+//!   the instance has replaced since.
 //! - A missing entry stays usable for a limited time, because entries also expire while the store
 //!   is unavailable; the time counts only while the store answers.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{Change, Instance, Listing, Object, ObjectDecoder, Revision};
+use persimmon_interfaces::{
+    Change, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision,
+};
 use persimmon_types::Time;
 
 use crate::snapshot::DirectoryEntry;
@@ -33,10 +38,43 @@
     instance_drain_limit / DETECTION_DIVISOR
 }
 
+/// What orders the reports of one instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryVersion {
+    /// The store's revision at which the report was received.
+    pub revision: Revision,
+    /// The wall-clock start time of the process that wrote the report, in milliseconds.
+    pub born_ms: u64,
+    /// The process's own counter of reports.
+    pub sequence: u64,
+}
+
+impl EntryVersion {
+    fn new(revision: Revision, report: &InstanceReport) -> Self {
+        Self { revision, born_ms: report.instance.born_ms, sequence: report.sequence }
+    }
+
+    /// Compares two reports, where that of a later era may have been restored from a copy.
+    fn compare(&self, other: &Self) -> Ordering {
+        if self.revision.era == other.revision.era {
+            return self.revision.cmp(&other.revision);
+        }
+        let has_sequence = self.sequence != 0 || other.sequence != 0;
+        if self.born_ms == other.born_ms && has_sequence {
+            return self.sequence.cmp(&other.sequence);
+        }
+        // A clock may have been set back between the starts of two processes: a report of a later
+        // era is older only if its number says so too.
+        let by_era = self.revision.cmp(&other.revision);
+        let by_number = self.revision.number.cmp(&other.revision.number);
+        if by_number == by_era || !has_sequence { by_era } else { self.born_ms.cmp(&other.born_ms) }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     instance: Arc<Instance>,
-    revision: Revision,
+    version: EntryVersion,
     missing_for: Option<Duration>,
 }
 
@@ -46,8 +84,8 @@
     /// How long a missing instance is kept.
     missing_retention: Duration,
     entries: HashMap<Arc<str>, Entry>,
-    /// Revisions of removed entries, so that a delayed write does not restore them.
-    removed: HashMap<Arc<str>, Revision>,
+    /// Versions of removed entries, so that a delayed write does not restore them.
+    removed: HashMap<Arc<str>, EntryVersion>,
     ticked_at: Option<Time>,
 }
 
@@ -69,7 +107,7 @@
     pub fn apply_listing(&mut self, object_decoder: &dyn ObjectDecoder, listing: &Listing) -> bool {
         let mut changed = false;
         for object in &listing.objects {
-            changed |= self.apply_object(object_decoder, object);
+            changed |= self.apply_object(object_decoder, object, true);
         }
         for (id, entry) in &mut self.entries {
             let is_listed = listing.objects.iter().any(|o| o.name == *id);
@@ -84,7 +122,7 @@
     /// Applies one change; returns whether it changed anything but a heartbeat.
     pub fn apply_change(&mut self, object_decoder: &dyn ObjectDecoder, change: &Change) -> bool {
         match change {
-            Change::Written(object) => self.apply_object(object_decoder, object),
+            Change::Written(object) => self.apply_object(object_decoder, object, false),
             Change::Removed(id) => self.mark_missing(id),
         }
     }
@@ -97,40 +135,72 @@
             return false;
         }
         entry.missing_for = Some(Duration::ZERO);
-        tracing::info!(instance = %id, revision = %entry.revision,
+        tracing::info!(instance = %id, revision = %entry.version.revision,
             "an instance's entry is missing from the directory");
         true
     }
 
-    fn apply_object(&mut self, object_decoder: &dyn ObjectDecoder, object: &Object) -> bool {
-        let known = self.entries.get(&object.name).map(|e| e.revision);
-        let min_revision = known.or_else(|| self.removed.get(&object.name).copied());
-        if min_revision.is_some_and(|revision| revision > object.revision) {
+    fn known_version(&self, id: &str) -> Option<EntryVersion> {
+        let known = self.entries.get(id).map(|e| e.version);
+        known.or_else(|| self.removed.get(id).copied())
+    }
+
+    /// Applies an object of a listing, or else one that was written after the listing.
+    fn apply_object(
+        &mut self,
+        object_decoder: &dyn ObjectDecoder,
+        object: &Object,
+        is_listed: bool,
+    ) -> bool {
+        let known = self.known_version(&object.name);
+        if known.is_some_and(|known| known.revision > object.revision) {
             return false;
         }
-        let instance = match object_decoder.decode_instance(object) {
-            Ok(instance) => instance,
+        let report = match object_decoder.decode_instance(object) {
+            Ok(report) => report,
             Err(err) => {
                 tracing::warn!(revision = %object.revision, problem = %err,
                     "the directory entry is invalid and treated as missing");
                 return self.mark_missing(&object.name);
             }
         };
-        self.insert(object.revision, instance)
+        let version = EntryVersion::new(object.revision, &report);
+        // What is written in a later era is new. What is listed may be from the copy.
+        let restored = known.filter(|known| is_listed && known.revision.era != object.revision.era);
+        match restored.map(|known| version.compare(&known)) {
+            Some(Ordering::Less) => {
+                tracing::info!(instance = %object.name, revision = %object.revision,
+                    sequence = report.sequence, known = ?known,
+                    "the restored store lists an older entry, which is ignored");
+                false
+            }
+            Some(Ordering::Equal) if self.entries.contains_key(&object.name) => {
+                self.mark_present(&object.name)
+            }
+            Some(_) | None => self.insert(version, report.instance),
+        }
+    }
+
+    /// Ends the absence of an entry that is listed again without a new report.
+    fn mark_present(&mut self, id: &Arc<str>) -> bool {
+        let missing_for = self.entries.get_mut(id).and_then(|entry| entry.missing_for.take());
+        if missing_for.is_some() {
+            tracing::info!(instance = %id, "an instance's entry is listed again");
+        }
+        missing_for.is_some()
     }
 
     /// Merges an entry received from a peer; returns whether it changed anything.
-    pub fn merge_entry(&mut self, revision: Revision, instance: Instance) -> bool {
-        let known = self.entries.get(&instance.id).map(|e| e.revision);
-        let min_revision = known.or_else(|| self.removed.get(&instance.id).copied());
-        if min_revision.is_some_and(|min_revision| min_revision >= revision) {
+    pub fn merge_entry(&mut self, version: EntryVersion, instance: Instance) -> bool {
+        let known = self.known_version(&instance.id);
+        if known.is_some_and(|known| version.compare(&known) != Ordering::Greater) {
             return false;
         }
-        self.insert(revision, instance)
+        self.insert(version, instance)
     }
 
-    fn insert(&mut self, revision: Revision, instance: Instance) -> bool {
-        let entry = Entry { instance: Arc::new(instance), revision, missing_for: None };
+    fn insert(&mut self, version: EntryVersion, instance: Instance) -> bool {
+        let entry = Entry { instance: Arc::new(instance), version, missing_for: None };
         let before = self.entries.get(&entry.instance.id);
         let changed =
             before.is_none_or(|b| b.missing_for.is_some() || b.instance != entry.instance);
@@ -139,18 +209,18 @@
             tracing::info!(
                 instance = %instance.id, service = %instance.service, address = %instance.address,
                 role = ?instance.role, draining = instance.is_draining, born = instance.born_ms,
-                revision = %entry.revision, "the directory changed"
+                revision = %version.revision, sequence = version.sequence, "the directory changed"
             );
         }
         self.entries.insert(Arc::clone(&entry.instance.id), entry);
         changed
     }
 
-    /// All entries that are not missing, with their revisions.
+    /// All entries that are not missing, with their versions.
     #[must_use]
-    pub fn entries(&self) -> Vec<(Revision, Instance)> {
+    pub fn entries(&self) -> Vec<(EntryVersion, Instance)> {
         let listed = self.entries.values().filter(|e| e.missing_for.is_none());
-        listed.map(|e| (e.revision, (*e.instance).clone())).collect()
+        listed.map(|e| (e.version, (*e.instance).clone())).collect()
     }
 
     /// Advances the time; returns whether a missing instance was removed.
@@ -169,14 +239,14 @@
             }
             *missing_for += passed;
             if *missing_for >= self.missing_retention {
-                expired.push((Arc::clone(id), entry.revision));
+                expired.push((Arc::clone(id), entry.version));
             }
         }
-        for (id, revision) in &expired {
-            tracing::info!(instance = %id, %revision,
+        for (id, version) in &expired {
+            tracing::info!(instance = %id, revision = %version.revision,
                 "a missing instance was removed from the directory");
             self.entries.remove(id);
-            self.removed.insert(Arc::clone(id), *revision);
+            self.removed.insert(Arc::clone(id), *version);
         }
         !expired.is_empty()
     }
@@ -188,7 +258,7 @@
         for entry in self.entries.values() {
             let listed = DirectoryEntry {
                 instance: Arc::clone(&entry.instance),
-                revision: entry.revision,
+                revision: entry.version.revision,
                 missing_for: entry.missing_for,
             };
             services.entry(Arc::clone(&entry.instance.service)).or_default().push(listed);
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -39,7 +39,7 @@
 mod wire_member;
 
 pub use adapter::{Adapter, PlatformClients};
-pub use directory::Directory;
+pub use directory::{Directory, EntryVersion};
 pub use logging::{LineBudget, LogBudget, start_logging};
 pub use metrics::Metrics;
 pub use peer_list::PeerList;
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -33,10 +33,13 @@
     pub(crate) is_current: bool,
 }
 
-/// From which era of the store a directory entry comes.
+/// From where a directory entry comes.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct EntryOrigin {
+    /// The store's era in which it was received.
     pub(crate) era: u64,
+    /// The instance's own counter of reports.
+    pub(crate) sequence: u64,
 }
 
 /// A daemon, and the members that it knows.
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -4,15 +4,16 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{
-    Change, DecodeError, Instance, Listing, Object, ObjectDecoder, Revision, Role, Table,
+    Change, DecodeError, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision, Role,
+    Table,
 };
-use persimmon_proxy::{Directory, RoutingSnapshot};
+use persimmon_proxy::{Directory, EntryVersion, RoutingSnapshot};
 use persimmon_types::Time;
 use serde::Deserialize;
 
 const SERVICE: &str = "orders";
 
-/// Decodes objects whose value is a serialized instance.
+/// Decodes objects whose value is a serialized instance with its sequence number.
 #[derive(Debug)]
 struct IdentityDecoder;
 
@@ -25,9 +26,13 @@
         Err(DecodeError { name: Arc::clone(&object.name), problem: "not a table".to_owned() })
     }
 
-    fn decode_instance(&self, object: &Object) -> Result<Instance, DecodeError> {
-        Instance::deserialize(&object.value)
-            .map_err(|err| DecodeError { name: Arc::clone(&object.name), problem: err.to_string() })
+    fn decode_instance(&self, object: &Object) -> Result<InstanceReport, DecodeError> {
+        let (instance, sequence) =
+            <(Instance, u64)>::deserialize(&object.value).map_err(|err| DecodeError {
+                name: Arc::clone(&object.name),
+                problem: err.to_string(),
+            })?;
+        Ok(InstanceReport { instance, sequence })
     }
 }
 
@@ -36,18 +41,26 @@
 }
 
 fn entry(id: &str, revision: u64, role: Role) -> Object {
-    let instance = Instance {
+    report(at_revision(revision), instance(id, role, false), revision)
+}
+
+fn report(revision: Revision, instance: Instance, sequence: u64) -> Object {
+    let name = Arc::clone(&instance.id);
+    let value = serde_json::to_value((instance, sequence)).expect("an entry");
+    Object { name, revision, value }
+}
+
+fn instance(id: &str, role: Role, is_draining: bool) -> Instance {
+    Instance {
         id: Arc::from(id),
         service: Arc::from(SERVICE),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: Arc::from("a"),
         slots: 5,
-        is_draining: false,
+        is_draining,
         role,
         born_ms: 1,
-    };
-    let value = serde_json::to_value(&instance).expect("an entry");
-    Object { name: Arc::from(id), revision: at_revision(revision), value }
+    }
 }
 
 fn at(ms: u64) -> Time {
@@ -113,3 +126,123 @@
 
     assert!(kept_ms > 2_000, "{kept_ms}");
 }
+
+/// A directory that received "draining" from `i-1` and the lead of `i-2` after the copy was made
+/// with which [`restored`] begins.
+fn directory_before_restore() -> Directory {
+    let copied = vec![entry("i-1", 1, Role::Primary), entry("i-2", 2, Role::Replica)];
+    let mut directory = directory(7_000, copied);
+    let draining = report(at_revision(8), instance("i-1", Role::Replica, true), 8);
+    let leading = report(at_revision(9), instance("i-2", Role::Primary, false), 9);
+    for written in [draining, leading] {
+        directory.apply_change(&IdentityDecoder, &Change::Written(written));
+    }
+    directory
+}
+
+fn restored(number: u64) -> Revision {
+    Revision::new(2, number)
+}
+
+fn restored_listing() -> Listing {
+    let objects = vec![
+        report(restored(1), instance("i-1", Role::Primary, false), 1),
+        report(restored(2), instance("i-2", Role::Replica, false), 2),
+    ];
+    Listing { objects, revision: restored(5) }
+}
+
+fn is_draining(directory: &Directory, id: &str) -> Option<bool> {
+    let services = directory.by_service();
+    services[SERVICE].iter().find(|e| &*e.instance.id == id).map(|e| e.instance.is_draining)
+}
+
+#[test]
+fn restored_listing_does_not_bring_a_draining_instance_back() {
+    let mut directory = directory_before_restore();
+
+    directory.apply_listing(&IdentityDecoder, &restored_listing());
+
+    assert_eq!(is_draining(&directory, "i-1"), Some(true));
+    assert_eq!(primary(&directory).as_deref(), Some("i-2"));
+}
+
+#[test]
+fn reports_written_after_a_restore_are_taken_whatever_their_number() {
+    let mut directory = directory_before_restore();
+    directory.apply_listing(&IdentityDecoder, &restored_listing());
+
+    // The next number of the restored store is below those of before.
+    let ready = report(restored(6), instance("i-1", Role::Replica, false), 10);
+    directory.apply_change(&IdentityDecoder, &Change::Written(ready));
+
+    assert_eq!(is_draining(&directory, "i-1"), Some(false));
+}
+
+#[test]
+fn listing_with_a_report_written_after_a_restore_is_taken() {
+    let mut directory = directory_before_restore();
+    let ready = report(restored(6), instance("i-1", Role::Replica, false), 10);
+    let listing = Listing { objects: vec![ready], revision: restored(6) };
+
+    directory.apply_listing(&IdentityDecoder, &listing);
+
+    assert_eq!(is_draining(&directory, "i-1"), Some(false));
+}
+
+#[test]
+fn instance_removed_before_a_restore_does_not_return_from_the_copy() {
+    let mut directory = directory_before_restore();
+    directory.tick(at(0), true);
+    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")));
+    directory.tick(at(10_000), true);
+
+    directory.apply_listing(&IdentityDecoder, &restored_listing());
+
+    assert_eq!(is_draining(&directory, "i-1"), None);
+}
+
+#[test]
+fn entry_written_again_unchanged_after_a_restore_is_present() {
+    let mut directory = directory_before_restore();
+    directory.tick(at(0), true);
+    let lost = Listing { objects: Vec::new(), revision: restored(5) };
+    directory.apply_listing(&IdentityDecoder, &lost);
+    let again = report(restored(6), instance("i-2", Role::Primary, false), 9);
+    let listing = Listing { objects: vec![again], revision: restored(6) };
+
+    directory.apply_listing(&IdentityDecoder, &listing);
+
+    let services = directory.by_service();
+    let is_present =
+        |id: &str| services[SERVICE].iter().any(|e| &*e.instance.id == id && e.accepts_work());
+    assert!(is_present("i-2") && !is_present("i-1"));
+}
+
+#[test]
+fn daemon_that_started_after_a_restore_takes_newer_reports_of_peers() {
+    let mut newcomer = Directory::new(Duration::from_millis(7_000));
+    newcomer.apply_listing(&IdentityDecoder, &restored_listing());
+    let peer = directory_before_restore();
+
+    for (version, instance) in peer.entries() {
+        newcomer.merge_entry(version, instance);
+    }
+
+    assert_eq!(is_draining(&newcomer, "i-1"), Some(true));
+    assert_eq!(primary(&newcomer).as_deref(), Some("i-2"));
+}
+
+#[test]
+fn process_started_later_wins_over_a_restored_report_of_the_one_before() {
+    let mut directory = directory_before_restore();
+    let version = EntryVersion { revision: at_revision(12), born_ms: 500, sequence: 1 };
+    let reborn = Instance { born_ms: 500, ..instance("i-1", Role::Replica, false) };
+    assert!(directory.merge_entry(version, reborn));
+
+    directory.apply_listing(&IdentityDecoder, &restored_listing());
+
+    let services = directory.by_service();
+    let entry = services[SERVICE].iter().find(|e| &*e.instance.id == "i-1").expect("an entry");
+    assert_eq!(entry.instance.born_ms, 500);
+}
