Keep a table that a restored store has lost, for a limited time

A table in force never came back older on a daemon that had it, but a version that the operators do not write again would have stayed for ever, each daemon passing it on to those that start; and a version used again for another table was ignored. The active table now knows the latest era in which the store had it. Introductions name the active version, so that a daemon that starts with the copy's table fetches the newer one, and the instances' newer reports, from the peer that it meets.

--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -396,7 +396,7 @@
         return;
     }
     match control.object_decoder.decode_table(object) {
-        Ok(table) => control.activate_table(table, "store"),
+        Ok(table) => control.receive_stored_table(object.revision.era, table),
         Err(err) => {
             tracing::error!(revision = %object.revision, problem = %err,
                 "the table in the store is invalid and ignored");
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -16,9 +16,11 @@
 use ntex::rt::{DefaultRuntime, System};
 use persimmon_interfaces::{InstanceProtocol, ObjectDecoder, Revision, Table};
 use persimmon_ownership::WatcherFailure;
+use persimmon_types::{Clock, Time};
 use tarpc::context;
 use tokio::sync::{mpsc, watch};
 
+use crate::active_table::{ActiveTable, TableOutcome};
 use crate::adapter::{Connect, PlatformClients};
 use crate::control::peers::PublishedState;
 use crate::directory::Directory;
@@ -59,7 +61,7 @@
     pub(crate) object_decoder: Arc<dyn ObjectDecoder>,
     pub(crate) instance_protocol: Arc<dyn InstanceProtocol>,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) table: RefCell<Option<Arc<Table>>>,
+    pub(crate) table: RefCell<ActiveTable>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) has_directory: Cell<bool>,
     /// Whether the store answered the latest call that ended, of this daemon or of the watcher that
@@ -88,13 +90,13 @@
     /// Publishes a new snapshot to the traffic thread.
     pub(crate) fn publish(&self) {
         let snapshot = RoutingSnapshot {
-            table: self.table.borrow().clone(),
+            table: self.table.borrow().table().cloned(),
             has_directory: self.has_directory.get(),
             services: self.directory.borrow().by_service(),
         };
         let instances = self.directory.borrow().entries();
         let is_current = self.is_store_reachable();
-        self.published.put(snapshot.table.as_deref(), instances, is_current);
+        self.published.put(&self.table.borrow(), instances, is_current);
         self.snapshot.send_replace(Arc::new(snapshot));
     }
 
@@ -103,20 +105,69 @@
         Arc::clone(&self.snapshot.borrow())
     }
 
-    /// Activates a table unless the active one is at least as new.
-    pub(crate) fn activate_table(&self, table: Table, source: &str) {
-        let before = self.table.borrow().as_ref().map(|t| t.version);
-        if before.is_some_and(|version| version >= table.version) {
-            return;
+    /// Handles the table that the store had in `era`.
+    pub(crate) fn receive_stored_table(&self, era: u64, table: Table) {
+        let version = table.version;
+        let (before, was_lost) = {
+            let active = self.table.borrow();
+            (active.version(), active.lost_since().is_some())
+        };
+        let outcome = self.table.borrow_mut().receive_stored(Clock.now(), era, table);
+        if outcome == TableOutcome::Activated {
+            self.on_table_activated(before, "store");
+        }
+        let is_lost = self.table.borrow().lost_since().is_some();
+        if is_lost && !was_lost {
+            tracing::warn!(
+                version,
+                active = before,
+                era,
+                "the restored store has an older table; the active one stays until it is written again"
+            );
+            self.publish();
+        }
+        if was_lost && !is_lost {
+            tracing::info!(version, active = before, era, "the store has the active table again");
+            self.publish();
+        }
+    }
+
+    /// Handles the active table of a peer, which the store had in `era` and has lost for
+    /// `lost_for`.
+    pub(crate) fn receive_peer_table(&self, era: u64, lost_for: Duration, table: Table) {
+        let before = self.table.borrow().version();
+        let mut active = self.table.borrow_mut();
+        let outcome = active.receive_from_peer(Clock.now(), era, lost_for, table);
+        drop(active);
+        if outcome == TableOutcome::Activated {
+            self.on_table_activated(before, "peer");
         }
+    }
+
+    /// Gives up a table that the store has lost for too long.
+    fn tick_table(&self, now: Time) {
+        let before = self.table.borrow().version();
+        if self.table.borrow_mut().tick(now, self.store_era()) {
+            tracing::warn!(
+                before,
+                "the active table was not written again after the store was restored"
+            );
+            self.on_table_activated(before, "store");
+        }
+    }
+
+    fn on_table_activated(&self, before: u64, source: &str) {
+        let Some(table) = self.table.borrow().table().cloned() else {
+            return;
+        };
         tracing::info!(
             version = table.version,
             before,
+            era = self.table.borrow().era(),
             routes = table.routes.len(),
             source,
             "table activated"
         );
-        *self.table.borrow_mut() = Some(Arc::new(table));
         self.publish();
     }
 
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -11,9 +11,9 @@
 
 use futures::StreamExt;
 use futures::future::join_all;
-use persimmon_interfaces::{Instance, Revision, Table};
+use persimmon_interfaces::{Instance, Revision};
 use persimmon_ownership::Member;
-use persimmon_types::Clock;
+use persimmon_types::{Clock, Time};
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tarpc::server::{BaseChannel, Channel};
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::active_table::ActiveTable;
 use crate::connection::BackendConnection;
 use crate::control::Control;
 use crate::directory::EntryVersion;
@@ -81,6 +82,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PublishedState {
     state: Mutex<DaemonState>,
+    /// Since when the store has lost the table.
+    table_lost_since: Mutex<Option<Time>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -91,12 +94,14 @@
     /// Replaces the published state.
     pub(crate) fn put(
         &self,
-        table: Option<&Table>,
+        table: &ActiveTable,
         instances: Vec<(EntryVersion, Instance)>,
         is_current: bool,
     ) {
         let mut state = lock(&self.state);
-        state.table = table.cloned();
+        state.table = table.table().map(|t| (**t).clone());
+        state.table_era = table.era();
+        *lock(&self.table_lost_since) = table.lost_since();
         let origins = instances
             .iter()
             .map(|(v, _)| EntryOrigin { era: v.revision.era, sequence: v.sequence });
@@ -129,6 +134,10 @@
         members: u64,
     ) -> DaemonState {
         let mut state = lock(&self.published.state).clone();
+        if let Some(since) = *lock(&self.published.table_lost_since) {
+            let lost_for = Clock.now().since(since).as_millis();
+            state.table_lost_ms = u64::try_from(lost_for).unwrap_or(u64::MAX);
+        }
         state.table = state.table.filter(|t| t.version > table);
         state.introduction = Some(self.meet(cx, from, members).await);
         state
@@ -138,9 +147,11 @@
         let is_same = self.peers.fingerprint() == members;
         let known = if is_same { Vec::new() } else { self.peers.members() };
         self.peers.record_alive(&Member::from(from));
+        let table = lock(&self.published.state).table.as_ref().map_or(0, |t| t.version);
         Introduction {
             own: WireMember::from(self.peers.own()),
             members: WireMembers::from(known.as_slice()),
+            table,
         }
     }
 
@@ -257,7 +268,7 @@
     let mut rounds: u32 = 0;
     loop {
         let is_reachable = control.is_store_reachable() && control.has_directory.get();
-        let has_state = control.has_directory.get() && control.table.borrow().is_some();
+        let has_state = control.has_directory.get() && control.table.borrow().table().is_some();
         if !is_reachable && (!has_state || rounds.is_multiple_of(REFRESH_ROUNDS)) {
             fetch_from_peers(&control).await;
         }
@@ -305,7 +316,11 @@
     };
     match tokio::time::timeout(PEER_CALL_TIMEOUT, call).await {
         Ok(Ok(introduction)) => {
+            let has_newer_table = is_behind(control, introduction.table);
             merge_introduction(control, introduction);
+            if has_newer_table {
+                fetch_from_peer(control, peer).await;
+            }
             true
         }
         Ok(Err(_)) | Err(_) => {
@@ -315,6 +330,14 @@
     }
 }
 
+/// Whether a peer's version of the table is newer than that of this daemon, which has one. A store
+/// that was restored from a copy lacks what peers received before, and the instances' newer reports
+/// too.
+fn is_behind(control: &Control, peer_version: u64) -> bool {
+    let table = control.table.borrow();
+    table.table().is_some() && table.version() < peer_version
+}
+
 fn merge_introduction(control: &Control, introduction: Introduction) {
     control.peers.record_alive(&Member::from(introduction.own));
     control.peers.merge(&Vec::from(introduction.members));
@@ -331,12 +354,21 @@
     peers.shuffle(&mut rand::rng());
     let calls = peers.iter().take(FETCH_CONCURRENCY).map(|peer| fetch_state(control, *peer));
     for (peer, answer) in join_all(calls).await {
-        match answer {
-            Ok(state) => merge_state(control, peer, state),
-            Err(err) => {
-                tracing::debug!(%peer, error = %err, "fetching the state of a peer failed");
-                forget(control, peer);
-            }
+        merge_answer(control, peer, answer);
+    }
+}
+
+async fn fetch_from_peer(control: &Control, peer: SocketAddr) {
+    let (peer, answer) = fetch_state(control, peer).await;
+    merge_answer(control, peer, answer);
+}
+
+fn merge_answer(control: &Control, peer: SocketAddr, answer: Result<DaemonState, PeerError>) {
+    match answer {
+        Ok(state) => merge_state(control, peer, state),
+        Err(err) => {
+            tracing::debug!(%peer, error = %err, "fetching the state of a peer failed");
+            forget(control, peer);
         }
     }
 }
@@ -345,7 +377,7 @@
     control: &Control,
     peer: SocketAddr,
 ) -> (SocketAddr, Result<DaemonState, PeerError>) {
-    let version = control.table.borrow().as_ref().map_or(0, |t| t.version);
+    let version = control.table.borrow().version();
     let call = async {
         let client = connect(&control.metrics, peer).await?;
         let own = WireMember::from(control.peers.own());
@@ -405,7 +437,8 @@
         merge_introduction(control, introduction);
     }
     if let Some(table) = state.table {
-        control.activate_table(table, "peer");
+        let lost_for = Duration::from_millis(state.table_lost_ms);
+        control.receive_peer_table(state.table_era, lost_for, table);
     }
     if state.instances.is_empty() {
         return;
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //!   it is reused only if every answer was complete.
 //! - No state outlives the process.
 
+mod active_table;
 mod adapter;
 mod connection;
 mod control;
@@ -38,6 +39,7 @@
 mod transaction;
 mod wire_member;
 
+pub use active_table::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 pub use adapter::{Adapter, PlatformClients};
 pub use directory::{Directory, EntryVersion};
 pub use logging::{LineBudget, LogBudget, start_logging};
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -22,6 +22,13 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct DaemonState {
     pub(crate) table: Option<Table>,
+    /// The latest era of the store in which it had the table.
+    #[serde(default)]
+    pub(crate) table_era: u64,
+    /// How long the store has lacked the table after a restore, in milliseconds; zero while it has
+    /// it.
+    #[serde(default)]
+    pub(crate) table_lost_ms: u64,
     /// The instances with the numbers of their entries' revisions.
     pub(crate) instances: Vec<(u64, Instance)>,
     /// The rest of what orders each entry of `instances`; empty from a daemon that knows of no eras.
@@ -48,6 +55,9 @@
     pub(crate) own: WireMember,
     /// All known members; empty if the caller knows the same ones.
     pub(crate) members: WireMembers,
+    /// The daemon's active version of the table; zero if it has none or does not tell.
+    #[serde(default)]
+    pub(crate) table: u64,
 }
 
 /// A sample of a primary's position, with its age at the daemon that took it.
--- a/crates/persimmond/tests/restored_store.rs
+++ b/crates/persimmond/tests/restored_store.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
-use persimmon_lab::line_cluster::{InstanceProfile, LineCluster, StoreCopy, StoreFaults};
+use persimmon_lab::line_cluster::{
+    Daemon, InstanceProfile, LineCluster, StoreCopy, StoreFaults, loopback_peer_addresses,
+};
 
-use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup, setup_on};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, TempFolder, holds_within, setup, setup_on};
 
 /// A fleet that is large enough to have watchers.
 const LARGE_FLEET: usize = 33;
@@ -150,3 +152,25 @@
     assert_eq!(holders(2), holders(1));
     setup.assert_no_violations();
 }
+
+#[test]
+fn daemon_started_before_the_table_is_written_again_serves_the_one_in_force() {
+    let setup = setup("restore-newcomer", 3);
+    let copy = setup.cluster.store.copy();
+    setup.cluster.put_table(5, &["added"]);
+    assert!(holds_within(CONDITION_TIMEOUT, || is_active_everywhere(&setup, 5)));
+
+    restore(&setup, &copy);
+    let folder = TempFolder::new("restore-late");
+    let seeds: Vec<_> = setup.daemons.iter().map(|d| d.addresses.peers).collect();
+    let settings = setup.cluster.settings("late", loopback_peer_addresses(1)[0], &seeds);
+    let late = Daemon::start(&folder.0, "late", &settings).expect("the daemon starts");
+
+    let has_table = || {
+        let lines = late.log_lines().unwrap_or_default();
+        lines.iter().any(|line| line["message"] == "table activated" && line["version"] == 5)
+    };
+    assert!(holds_within(TABLE_LIMIT, has_table));
+    assert!((0..3).all(|daemon| !setup.has_logged(daemon, |line| line["before"] == 5)));
+    setup.assert_no_violations();
+}
