Soak: restore the store from copies, and check the latest table at the end

Restores come from a stream of random numbers of their own, so that the plans of seeds that failed once stay as they were.

--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -34,6 +34,8 @@
     /// number of clients
     #[options(default = "16")]
     callers: u64,
+    /// also restore the store from copies
+    restores: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -49,6 +51,7 @@
             daemons: args.daemons,
             groups: args.groups,
             max_connections: args.connections,
+            has_restores: args.restores,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -1,12 +1,15 @@
 //! The daemons of a run, and the injection and healing of faults.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use persimmon_lab::line_cluster::{Daemon, LineCluster, StoreFaults, loopback_peer_addresses};
+use persimmon_lab::line_cluster::{
+    Daemon, LineCluster, StoreCopy, StoreFaults, loopback_peer_addresses,
+};
 use rustix::process::Signal;
 
 use crate::plan::{Fault, Step};
@@ -14,6 +17,12 @@
 /// Added delay of all traffic of a slow instance.
 const INSTANCE_DELAY: Duration = Duration::from_millis(80);
 
+/// Copies of the store that are kept, one for each time that the directory is written.
+const MAX_COPIES: usize = 20;
+
+/// A database that some versions of the table have a route for.
+pub(crate) const EXTRA_DATABASE: &str = "extra";
+
 /// The processes and fakes that faults act on.
 pub(crate) struct Fleet {
     pub(crate) cluster: LineCluster,
@@ -23,6 +32,10 @@
     start_count: usize,
     table_version: u64,
     faults: StoreFaults,
+    /// The table that the operators wrote last, as its extra databases.
+    extra_databases: &'static [&'static str],
+    /// The latest copies of the store, oldest first.
+    copies: VecDeque<StoreCopy>,
     /// Client addresses of the running daemons, shared with the clients' threads.
     pub(crate) client_addresses: Arc<Mutex<Vec<SocketAddr>>>,
 }
@@ -42,6 +55,8 @@
             start_count: 0,
             table_version: 2,
             faults: StoreFaults::default(),
+            extra_databases: &[],
+            copies: VecDeque::new(),
             client_addresses: Arc::default(),
         };
         for index in 0..usize::from(daemons) {
@@ -115,6 +130,11 @@
         self.cluster.store.set_faults(self.faults);
     }
 
+    /// Whether the latest table has a route for [`EXTRA_DATABASE`].
+    pub(crate) fn has_extra_database(&self) -> bool {
+        !self.extra_databases.is_empty()
+    }
+
     /// Starts a fault; returns the instance that it acts on, for [`Self::end_fault`].
     pub(crate) fn start_fault(&mut self, step: &Step) -> Option<(usize, usize)> {
         let index = step.target % self.daemons.len();
@@ -131,7 +151,14 @@
             Fault::ForgetHistory => self.cluster.store.clear_history(),
             Fault::ChangeTable => {
                 self.table_version += 1 + u64::try_from(step.target % 5).unwrap_or(0);
-                self.cluster.put_table(self.table_version, &["extra"][..step.target % 2]);
+                self.extra_databases = &[EXTRA_DATABASE][..step.target % 2];
+                self.cluster.put_table(self.table_version, self.extra_databases);
+            }
+            Fault::RestoreStore => {
+                self.set_faults(|f| f.is_unavailable = true);
+                if let Some(copy) = self.copies.get(step.target % self.copies.len().max(1)) {
+                    self.cluster.store.restore(copy);
+                }
             }
             Fault::DrainPrimary => self.cluster.publish_instances(true),
             _ => return self.start_instance_fault(step),
@@ -176,6 +203,11 @@
             Fault::KillDaemon | Fault::KillAll | Fault::StopDaemon => self.restart_missing()?,
             Fault::PauseDaemon => self.signal(step, Signal::CONT),
             Fault::StoreBusy => self.set_faults(|f| f.is_unavailable = false),
+            Fault::RestoreStore => {
+                self.set_faults(|f| f.is_unavailable = false);
+                self.cluster.put_table(self.table_version, self.extra_databases);
+                self.cluster.beat();
+            }
             Fault::StoreLosesAnswers => self.set_faults(|f| f.loses_responses = false),
             Fault::LoseOrders => self.set_faults(|f| f.loses_promotion_responses = false),
             Fault::StoreSilent => self.cluster.store_proxy.partition(false),
@@ -198,13 +230,18 @@
     }
 
     /// Writes the entries of all instances to the directory, as instances do periodically.
-    pub(crate) fn refresh_directory(&self) {
+    pub(crate) fn refresh_directory(&mut self) {
         self.cluster.publish_instances(false);
+        self.copies.push_back(self.cluster.store.copy());
+        if self.copies.len() > MAX_COPIES {
+            self.copies.pop_front();
+        }
     }
 
     /// Ends all faults and restarts what has stopped.
     pub(crate) fn heal(&mut self) -> io::Result<()> {
         self.set_faults(|f| *f = StoreFaults::default());
+        self.cluster.put_table(self.table_version, self.extra_databases);
         self.cluster.store_proxy.partition(false);
         for (group, instances) in &self.cluster.groups {
             for (instance_index, instance) in instances.iter().enumerate() {
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -48,6 +48,8 @@
     DrainPrimary,
     /// The operators' table changes.
     ChangeTable,
+    /// The store is away, and comes back from a copy that lacks what was written since.
+    RestoreStore,
 }
 
 const FAULTS: [Fault; 20] = [
@@ -73,6 +75,9 @@
     Fault::ChangeTable,
 ];
 
+/// Distinguishes the random numbers of restores from those of the other faults of a seed.
+const RESTORE_STREAM: u64 = 0x5e57_04ed;
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -117,4 +122,23 @@
         steps.sort_by_key(|s| s.at);
         Self { steps }
     }
+
+    /// Adds restores of the store, some in quick succession; the other faults of the seed stay the
+    /// same.
+    #[must_use]
+    pub fn with_restores(mut self, seed: u64, length: Duration) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_STREAM);
+        let mut at = Duration::from_millis(rng.random_range(800..2_500));
+        while at + Duration::from_millis(500) < length {
+            self.steps.push(Step {
+                at,
+                lasts: Duration::from_millis(rng.random_range(20..1_500)),
+                fault: Fault::RestoreStore,
+                target: rng.random_range(0..1_000),
+            });
+            at += Duration::from_millis(rng.random_range(700..4_000));
+        }
+        self.steps.sort_by_key(|s| s.at);
+        self
+    }
 }
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -9,7 +9,7 @@
 use persimmon_lab::line_cluster::{InstanceProfile, LineClient, LineCluster};
 
 use crate::clients::{Client, OutcomeCounters};
-use crate::fleet::Fleet;
+use crate::fleet::{EXTRA_DATABASE, Fleet};
 use crate::plan::{Plan, Step};
 
 /// How long the system may take to serve again after all faults have ended.
@@ -35,6 +35,8 @@
     /// The connection limit of an instance that the table names. Daemons that outnumber half of it
     /// run their statements through owners.
     pub max_connections: usize,
+    /// Whether the store is also restored from copies.
+    pub has_restores: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -58,7 +60,10 @@
 ///
 /// Returns an error if a process or a fake cannot be started.
 pub fn run(options: &Options) -> io::Result<Report> {
-    let plan = Plan::new(options.seed, options.length);
+    let mut plan = Plan::new(options.seed, options.length);
+    if options.has_restores {
+        plan = plan.with_restores(options.seed, options.length);
+    }
     let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
         .with_max_connections(options.max_connections);
     let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons)?;
@@ -139,6 +144,7 @@
     }
 }
 
+/// Whether every daemon accepts writes, by the latest table.
 fn accepts_writes_everywhere(fleet: &mut Fleet, groups: usize) -> bool {
     fleet.refresh_directory();
     if !fleet.is_ready() {
@@ -146,6 +152,11 @@
     }
     let client_addresses = fleet.client_addresses.lock().map(|a| a.clone()).unwrap_or_default();
     client_addresses.iter().all(|address| {
+        // The latest table decides whether this database has a route.
+        let has_route = LineClient::open(*address, EXTRA_DATABASE, "end").is_ok();
+        if has_route != fleet.has_extra_database() {
+            return false;
+        }
         (0..groups).all(|group_index| {
             let opened = LineClient::open(*address, &format!("p{group_index}"), "end");
             opened.and_then(|mut c| c.query("WRITE end x")).is_ok_and(|r| r.result.is_ok())
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use persimmon_soak::{Options, Plan, run};
+use persimmon_soak::{Fault, Options, Plan, Step, run};
 
 /// Seed 5 failed once: an instance lost the primary role between a write and its response, so the
 /// response carried the position of a replica, and the session missed its own write.
@@ -17,11 +17,19 @@
 /// A connection limit at which one daemon owns the service.
 const FEW_CONNECTIONS: usize = 4;
 
-fn check(seed: u64, length: Duration, max_connections: usize) {
-    let name = format!("soak-test-{}-{seed}-{max_connections}", std::process::id());
-    let log_dir = std::env::temp_dir().join(name);
-    let options =
-        Options { seed, length, daemons: 3, groups: 1, max_connections, clients: 6, log_dir };
+fn check(seed: u64, length: Duration, max_connections: usize, has_restores: bool) {
+    let process = std::process::id();
+    let name = format!("soak-test-{process}-{seed}-{max_connections}-{has_restores}");
+    let options = Options {
+        seed,
+        length,
+        daemons: 3,
+        groups: 1,
+        max_connections,
+        has_restores,
+        clients: 6,
+        log_dir: std::env::temp_dir().join(name),
+    };
 
     let report = run(&options).expect("the run starts");
 
@@ -32,18 +40,23 @@
 
 #[test]
 fn a_short_run_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS);
+    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS, false);
 }
 
 #[test]
 fn a_short_run_with_an_owner_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(6), FEW_CONNECTIONS);
+    check(SHORT_RUN_SEED, Duration::from_secs(6), FEW_CONNECTIONS, false);
+}
+
+#[test]
+fn a_short_run_with_restores_of_the_store_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, true);
 }
 
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
-        check(seed, Duration::from_secs(8), MANY_CONNECTIONS);
+        check(seed, Duration::from_secs(8), MANY_CONNECTIONS, false);
     }
 }
 
@@ -53,4 +66,9 @@
 
     assert_eq!(Plan::new(7, length), Plan::new(7, length));
     assert_ne!(Plan::new(7, length), Plan::new(8, length));
+    let restores = Plan::new(7, length).with_restores(7, length);
+    assert_eq!(restores, Plan::new(7, length).with_restores(7, length));
+    let is_other = |step: &&Step| step.fault != Fault::RestoreStore;
+    let others: Vec<Step> = restores.steps.iter().filter(is_other).copied().collect();
+    assert_eq!(others, Plan::new(7, length).steps);
 }
