Answer daemons of a build without eras with plain numbers

During an upgrade, a daemon of the build before could not read the revisions of a watcher of this build and dropped the connection; every such daemon would have turned to the store. A request with a number alone is now taken to be in the present era, and its answer has numbers alone, as before. Requests of this build always carry an era, so that a watcher of the build before is passed by as unreachable. daemon_of_a_build_without_eras_receives_plain_numbers fails with the daemon of the commit before (it receives [1,5]) and passes. A fleet of both builds was not run.

--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -161,7 +161,7 @@
         kind: RelayedKind,
         revision: WireRevision,
     ) -> RelayReply {
-        self.relay.wait(kind, revision.into()).await
+        self.relay.answer(kind, revision).await
     }
 
     async fn suspect(self, _: context::Context, service: Arc<str>, instance: Arc<str>) {
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -33,8 +33,7 @@
     }
 }
 
-/// A revision between daemons. Daemons of a store without eras exchange its number alone, as those
-/// do that know of no eras.
+/// A revision between daemons. A number alone comes from a daemon that knows of no eras.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(untagged)]
 pub(crate) enum WireRevision {
@@ -44,8 +43,13 @@
 
 impl From<Revision> for WireRevision {
     fn from(revision: Revision) -> Self {
-        let Revision { era, number } = revision;
-        if era == 0 { Self::Number(number) } else { Self::WithEra(era, number) }
+        Self::WithEra(revision.era, revision.number)
+    }
+}
+
+impl WireRevision {
+    fn without_era(self) -> Self {
+        Self::Number(Revision::from(self).number)
     }
 }
 
@@ -146,6 +150,31 @@
     StoreDown,
 }
 
+impl RelayReply {
+    /// The reply in the form that a daemon understands that knows of no eras.
+    fn without_eras(mut self) -> Self {
+        match &mut self {
+            Self::Changes(changes) => {
+                changes.revision = changes.revision.without_era();
+                for change in &mut changes.changes {
+                    let WireChange::Written(object) = change else {
+                        continue;
+                    };
+                    object.revision = object.revision.without_era();
+                }
+            }
+            Self::Listing(listing) => {
+                listing.revision = listing.revision.without_era();
+                for object in &mut listing.objects {
+                    object.revision = object.revision.without_era();
+                }
+            }
+            Self::NotWatching | Self::StoreDown => {}
+        }
+        self
+    }
+}
+
 /// Whether a daemon follows the store itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum FeedState {
@@ -252,8 +281,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Answers a caller's request for the changes since a revision. One that knows of no eras is
+    /// taken to be in the present one.
+    pub(crate) async fn answer(&self, kind: RelayedKind, requested: WireRevision) -> RelayReply {
+        let WireRevision::Number(number) = requested else {
+            return self.wait(kind, requested.into()).await;
+        };
+        let era = self.feed(kind).changes.revision().era;
+        self.wait(kind, Revision::new(era, number)).await.without_eras()
+    }
+
     /// The changes since a revision, as soon as there are any.
-    pub(crate) async fn wait(&self, kind: RelayedKind, revision: Revision) -> RelayReply {
+    async fn wait(&self, kind: RelayedKind, revision: Revision) -> RelayReply {
         let deadline = Clock.now() + WAIT_LIMIT;
         let state = {
             let mut feed = self.feed(kind);
--- a/crates/persimmond/tests/restored_store.rs
+++ b/crates/persimmond/tests/restored_store.rs
@@ -2,12 +2,16 @@
 
 mod fleet;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use persimmon_lab::line_cluster::{
     Daemon, InstanceProfile, LineCluster, StoreCopy, StoreFaults, loopback_peer_addresses,
 };
 
+use serde_json::{Value, json};
+
 use crate::fleet::{CONDITION_TIMEOUT, Setup, TempFolder, holds_within, setup, setup_on};
 
 /// A fleet that is large enough to have watchers.
@@ -174,3 +178,42 @@
     assert!((0..3).all(|daemon| !setup.has_logged(daemon, |line| line["before"] == 5)));
     setup.assert_no_violations();
 }
+
+/// Requests the changes of the table since `revision` from a daemon, in the form of its peers.
+fn request_changes(setup: &Setup, daemon: usize, revision: &Value) -> Value {
+    let request = json!({"Request": {
+        "context": {
+            "deadline": {"secs": 5, "nanos": 0},
+            "trace_context": {"trace_id": vec![0; 16], "span_id": 1, "sampling_decision": "Unsampled"},
+        },
+        "id": 1,
+        "message": {"Changes": {"kind": "Table", "revision": revision}},
+    }});
+    let body = request.to_string();
+    let mut stream = TcpStream::connect(setup.daemons[daemon].addresses.peers).expect("a peer");
+    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).expect("a timeout is set");
+    let length = u32::try_from(body.len()).expect("a short message").to_be_bytes();
+    stream.write_all(&[&length, body.as_bytes()].concat()).expect("the request is sent");
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).expect("a response");
+    let mut response = vec![0; usize::try_from(u32::from_be_bytes(length)).expect("a length")];
+    stream.read_exact(&mut response).expect("a whole response");
+    let response: Value = serde_json::from_slice(&response).expect("JSON");
+    response["message"]["Ok"]["Changes"].clone()
+}
+
+#[test]
+fn daemon_of_a_build_without_eras_receives_plain_numbers() {
+    let setup = setup("restore-upgrade", 1);
+
+    let old = request_changes(&setup, 0, &json!(0));
+    let new = request_changes(&setup, 0, &json!([0, 0]));
+
+    let number = &old["Listing"]["revision"];
+    assert!(number.is_u64(), "{old}");
+    assert!(old["Listing"]["objects"][0]["revision"].is_u64(), "{old}");
+    assert_eq!(new["Listing"]["revision"], json!([1, number]), "{new}");
+    // It waits as before where it has everything, instead of receiving all objects at once.
+    let changes = request_changes(&setup, 0, number);
+    assert_eq!(changes["Changes"]["revision"], *number, "{changes}");
+}
