--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -5,6 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use crate::line_cluster::group::{Group, InstanceView};
 
@@ -22,6 +23,8 @@
     total_connections: AtomicUsize,
     loses_responses: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
+    /// From when on the instance may receive no new work, once it has announced that it leaves.
+    drained_at: Mutex<Option<Instant>>,
 }
 
 /// The server that plays one instance.
@@ -78,6 +81,18 @@
         self.state.loses_responses.store(on, Ordering::Relaxed);
     }
 
+    /// Records that the instance leaves and receives no new work after `drain_limit`; `None` if it
+    /// stays.
+    pub(crate) fn set_draining(&self, drain_limit: Option<Duration>) {
+        let mut drained_at = self.state.drained_at.lock().unwrap_or_else(PoisonError::into_inner);
+        *drained_at = drain_limit.map(|limit| drained_at.unwrap_or_else(|| Instant::now() + limit));
+    }
+
+    fn has_drained(&self) -> bool {
+        let drained_at = self.state.drained_at.lock().unwrap_or_else(PoisonError::into_inner);
+        drained_at.is_some_and(|at| Instant::now() >= at)
+    }
+
     /// Returns the number of open connections.
     #[must_use]
     pub fn open_connections(&self) -> usize {
@@ -337,6 +352,16 @@
         }
     }
 
+    /// Records a violation if a statement outside a transaction, or the first one in it, arrives
+    /// after the instance's drain limit.
+    fn check_drain_limit(&self, id: &str) {
+        let is_new_work = self.tx.as_ref().is_none_or(|tx| tx.session_name.is_none());
+        if is_new_work && self.server.has_drained() {
+            let violation = format!("request {id} reached {} after its drain limit", self.id);
+            self.server.group.record_violation(violation);
+        }
+    }
+
     fn next_signature(&mut self) -> Option<String> {
         self.has_run = true;
         self.signatures += 1;
@@ -347,6 +372,7 @@
         if self.has_lost_primary_role() {
             return Err(("READONLY", self.id.clone()));
         }
+        self.check_drain_limit(id);
         self.check_session_isolation(id);
         let server = self.server;
         let own_write = self.tx.as_ref().and_then(|tx| {
@@ -365,6 +391,7 @@
         if !view.is_primary || self.has_lost_primary_role() {
             return Err(("READONLY", self.id.clone()));
         }
+        self.check_drain_limit(id);
         self.check_session_isolation(id);
         let write = (id.to_owned(), item.to_owned(), data.to_owned());
         if let Some(tx) = &mut self.tx {
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -15,6 +15,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -26,6 +27,9 @@
 
 use crate::fault_proxy::FaultProxy;
 
+/// How long an instance that leaves may receive new work, unless a test sets it.
+const DEFAULT_DRAIN_LIMIT: Duration = Duration::from_secs(7);
+
 /// The port on which daemons listen for their peers.
 const PEER_PORT: u16 = 7_440;
 
@@ -51,6 +55,8 @@
     pub groups: Vec<(Arc<Group>, Vec<ProxiedInstance>)>,
     /// The connection limit of an instance that the table names.
     max_connections: usize,
+    /// How long an instance that leaves may receive new work.
+    drain_limit: Duration,
     /// What each instance wrote last of itself, and how often it has written.
     written: Mutex<HashMap<String, (Value, u64)>>,
 }
@@ -83,8 +89,14 @@
             started.push((group, instances));
         }
         let max_connections = InstanceProfile::default().max_connections;
-        let written = Mutex::default();
-        let cluster = Self { store, store_proxy, groups: started, max_connections, written };
+        let cluster = Self {
+            store,
+            store_proxy,
+            groups: started,
+            max_connections,
+            drain_limit: DEFAULT_DRAIN_LIMIT,
+            written: Mutex::default(),
+        };
         cluster.publish_instances(false);
         cluster.put_table(1, &[]);
         Ok(cluster)
@@ -99,10 +111,23 @@
         self
     }
 
+    /// Sets how long an instance that leaves may receive new work, which the settings of daemons
+    /// name and the instances check.
+    #[must_use]
+    pub fn with_drain_limit(mut self, drain_limit: Duration) -> Self {
+        self.drain_limit = drain_limit;
+        self
+    }
+
     /// Writes every instance's current entry to the store and removes those of stopped instances.
     ///
     /// With `first_is_draining`, the first instance of each group is entered as draining.
     pub fn publish_instances(&self, first_is_draining: bool) {
+        self.publish_with_draining(first_is_draining.then_some(0));
+    }
+
+    /// The same, where instance number `draining` of each group is entered as draining.
+    pub fn publish_with_draining(&self, draining: Option<usize>) {
         for (group, instances) in &self.groups {
             for (index, instance) in instances.iter().enumerate() {
                 let is_up = group.is_up(index);
@@ -110,7 +135,9 @@
                     self.store.remove("servers", &instance.id);
                     continue;
                 }
-                let state = if first_is_draining && index == 0 { "draining" } else { "ready" };
+                let is_draining = draining == Some(index);
+                instance.server.set_draining(is_draining.then_some(self.drain_limit));
+                let state = if is_draining { "draining" } else { "ready" };
                 let entry = json!({
                     "service": group.name, "address": instance.proxy.address.to_string(),
                     "zone": "z1", "version": "v1", "slots": 5, "state": state, "cold_ms": 0,
@@ -187,11 +214,12 @@
              heartbeat_ms = 1200\ninternal_port_range = [{first}, {last}]\n[listen]\nfront = \"{ip}:0\"\n\
              ready = \"{ip}:0\"\ncontrol = \"{peers}\"\n\
              metrics = \"{ip}:0\"\n[bounds]\n\
-             drain_ms = 7000\ngrace_s = 6\n[platform]\naddress = \"{store}\"\n[cloud_api]\n\
+             drain_ms = {drain_ms}\ngrace_s = 6\n[platform]\naddress = \"{store}\"\n[cloud_api]\n\
              address = \"{store}\"\n",
             seeds.join(","),
             first = PEER_PORT + 1,
             last = PEER_PORT + 15,
+            drain_ms = self.drain_limit.as_millis(),
             store = self.store_proxy.address,
         )
     }
