End new work at a primary that leaves, whether or not it has a successor

Cause: routing passed over a draining instance, except the believed primary, which had no limit: it was meant to be replaced within a second or two. Nothing ended that when no promotion took effect.

The directory now keeps when an instance announced that it leaves, at the latest estimate that is safe: a watch that was already waiting returns what was just accepted, anything else may be as old as the directory may be. Half a second before the limit the instance gets no new statement; callers wait for a successor as after a crash. A daemon that starts meanwhile learns the time from its peers, because a listing doesn't tell it. The check is repeated after a statement has waited for a connection. Position samples, which are no work, may still come from it, so that replicas go on serving reads.

--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -123,11 +123,11 @@
     ///
     /// With `first_is_draining`, the first instance of each group is entered as draining.
     pub fn publish_instances(&self, first_is_draining: bool) {
-        self.publish_with_draining(first_is_draining.then_some(0));
+        self.publish_with_draining(if first_is_draining { &[0] } else { &[] });
     }
 
-    /// The same, where instance number `draining` of each group is entered as draining.
-    pub fn publish_with_draining(&self, draining: Option<usize>) {
+    /// The same, where the instances of each group that `draining` numbers are entered as draining.
+    pub fn publish_with_draining(&self, draining: &[usize]) {
         for (group, instances) in &self.groups {
             for (index, instance) in instances.iter().enumerate() {
                 let is_up = group.is_up(index);
@@ -135,7 +135,7 @@
                     self.store.remove("servers", &instance.id);
                     continue;
                 }
-                let is_draining = draining == Some(index);
+                let is_draining = draining.contains(&index);
                 instance.server.set_draining(is_draining.then_some(self.drain_limit));
                 let state = if is_draining { "draining" } else { "ready" };
                 let entry = json!({
--- /dev/null
+++ b/crates/persimmon-proxy/src/announcements.rs
@@ -0,0 +1,66 @@
+//! When instances announced that they leave, as far as a daemon and its peers know.
+//!
+//! Invariant: the time of an announcement only becomes earlier, and is never later than the moment
+//! at which the store accepted it, by more than the time that the directory may be behind.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use persimmon_interfaces::Instance;
+use persimmon_types::Time;
+
+/// That a process of an instance leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The instance's identity.
+    pub instance: Arc<str>,
+    /// The start time of the process that leaves.
+    pub born_ms: u64,
+    /// The latest time at which it may have announced that.
+    pub since: Time,
+}
+
+/// The announcements of all instances.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Announcements(HashMap<Arc<str>, Announcement>);
+
+impl Announcements {
+    /// Records an announcement; returns whether it was unknown, or is earlier than was known.
+    pub(crate) fn record(&mut self, announcement: Announcement) -> bool {
+        let known = self.0.get(&announcement.instance);
+        let is_known = known
+            .filter(|known| known.born_ms == announcement.born_ms)
+            .is_some_and(|known| known.since <= announcement.since);
+        if !is_known {
+            self.0.insert(Arc::clone(&announcement.instance), announcement);
+        }
+        !is_known
+    }
+
+    /// Forgets what an instance announced, which has withdrawn it.
+    pub(crate) fn remove(&mut self, id: &str) {
+        self.0.remove(id);
+    }
+
+    /// When the process of `instance` announced that it leaves.
+    pub(crate) fn since(&self, instance: &Instance) -> Option<Time> {
+        let known = self.0.get(&instance.id).filter(|known| known.born_ms == instance.born_ms);
+        known.map(|known| known.since)
+    }
+
+    /// Drops announcements older than `max_age`, except those of instances that `is_listed` accepts.
+    pub(crate) fn retain(
+        &mut self,
+        now: Time,
+        max_age: Duration,
+        is_listed: impl Fn(&Announcement) -> bool,
+    ) {
+        self.0.retain(|_, known| now.since(known.since) < max_age || is_listed(known));
+    }
+
+    /// All announcements.
+    pub(crate) fn all(&self) -> Vec<Announcement> {
+        self.0.values().cloned().collect()
+    }
+}
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -10,7 +10,7 @@
 use futures::stream::FuturesUnordered;
 use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, Revision, StoreError};
 use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
-use persimmon_types::Clock;
+use persimmon_types::{Clock, Time};
 use rand::Rng;
 
 use crate::control::Control;
@@ -33,6 +33,9 @@
 /// How long a watch waits that only checks whether the store still has the watched revision.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 
+/// How long a slow store takes to deliver a change to a watch that already waits for it.
+const DELIVERY_LIMIT: Duration = Duration::from_millis(600);
+
 /// The key by which the daemons that watch the store are chosen.
 const WATCHER_KEY: &str = "watchers of the store";
 
@@ -132,7 +135,8 @@
         while let Some(reply) = requests.next().await {
             match reply {
                 Ok(RelayReply::Changes(changes)) => {
-                    follower.apply_changes(&Changes::from(changes));
+                    let accepted_after = follower.complete_until();
+                    follower.apply_changes(&Changes::from(changes), accepted_after);
                 }
                 Ok(RelayReply::Listing(listing)) => {
                     let listing = Listing::from(listing);
@@ -293,6 +297,11 @@
         self.may_be_stale = false;
     }
 
+    /// The time before which every change that the store accepted has been received, at the least.
+    fn complete_until(&self) -> Time {
+        Clock.now() - max_directory_delay(self.control.settings.instance_drain_limit)
+    }
+
     async fn list(&mut self) -> Result<bool, StoreError> {
         let listing = self.control.platform.store.list(self.kind, self.may_be_stale).await?;
         tracing::info!(kind = ?self.kind, revision = %listing.revision,
@@ -303,9 +312,14 @@
     }
 
     async fn watch(&mut self, revision: Revision, wait: Duration) -> Result<bool, StoreError> {
+        let requested_at = Clock.now();
         let changes = self.control.platform.store.watch(self.kind, revision, wait).await?;
         let has_changes = !changes.changes.is_empty();
-        self.apply_changes(&changes);
+        let now = Clock.now();
+        // A watch that has waited for longer than a delivery takes returns what was just accepted.
+        let has_waited = now.since(requested_at) > DELIVERY_LIMIT;
+        let accepted_after = if has_waited { now - DELIVERY_LIMIT } else { self.complete_until() };
+        self.apply_changes(&changes, accepted_after);
         Ok(has_changes)
     }
 
@@ -316,7 +330,7 @@
         };
         let failure = match self.control.request_changes(peer, kind, self.revision).await {
             Ok(RelayReply::Changes(changes)) => {
-                self.apply_changes(&Changes::from(changes));
+                self.apply_changes(&Changes::from(changes), self.complete_until());
                 None
             }
             Ok(RelayReply::Listing(listing)) => {
@@ -352,14 +366,16 @@
             return;
         }
         let decoder = &*self.control.object_decoder;
-        let changed = self.control.directory.borrow_mut().apply_listing(decoder, listing);
+        let complete_until = self.complete_until();
+        let changed =
+            self.control.directory.borrow_mut().apply_listing(decoder, listing, complete_until);
         let is_first = !self.control.has_directory.replace(true);
         if changed || is_first {
             self.control.publish();
         }
     }
 
-    fn apply_changes(&mut self, changes: &Changes) {
+    fn apply_changes(&mut self, changes: &Changes, accepted_after: Time) {
         self.control.record_era(changes.revision.era, "changes");
         let Some(revision) = self.revision.filter(|r| r.era == changes.revision.era) else {
             // The changes do not continue what was received, so that some may be missing.
@@ -370,18 +386,19 @@
         if let Ok(kind) = RelayedKind::try_from(self.kind) {
             self.control.relay.apply_changes(kind, changes);
         }
-        apply_changes(self.control, self.kind, &changes.changes);
+        apply_changes(self.control, self.kind, &changes.changes, accepted_after);
     }
 }
 
-fn apply_changes(control: &Control, kind: ObjectKind, changes: &[Change]) {
+fn apply_changes(control: &Control, kind: ObjectKind, changes: &[Change], accepted_after: Time) {
     let mut changed = false;
     for change in changes {
         match (kind, change) {
             (ObjectKind::Table, Change::Written(object)) => apply_table(control, object),
             (ObjectKind::Instances, change) => {
                 let object_decoder = &*control.object_decoder;
-                changed |= control.directory.borrow_mut().apply_change(object_decoder, change);
+                let mut directory = control.directory.borrow_mut();
+                changed |= directory.apply_change(object_decoder, change, accepted_after);
             }
             _ => {}
         }
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -94,9 +94,8 @@
             has_directory: self.has_directory.get(),
             services: self.directory.borrow().by_service(),
         };
-        let instances = self.directory.borrow().entries();
         let is_current = self.is_store_reachable();
-        self.published.put(&self.table.borrow(), instances, is_current);
+        self.published.put(&self.table.borrow(), &self.directory.borrow(), is_current);
         self.snapshot.send_replace(Arc::new(snapshot));
     }
 
--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -11,7 +11,7 @@
 
 use futures::StreamExt;
 use futures::future::join_all;
-use persimmon_interfaces::{Instance, Revision};
+use persimmon_interfaces::Revision;
 use persimmon_ownership::Member;
 use persimmon_types::{Clock, Time};
 use rand::Rng;
@@ -23,13 +23,14 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::active_table::ActiveTable;
+use crate::announcements::Announcement;
 use crate::connection::BackendConnection;
 use crate::control::Control;
-use crate::directory::EntryVersion;
+use crate::directory::{Directory, EntryVersion, max_directory_delay};
 use crate::peer_list::PeerList;
 use crate::peer_service::{
     DaemonState, EntryOrigin, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample,
-    connect,
+    WireAnnouncement, connect,
 };
 use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayReply, RelayedKind, WireRevision};
@@ -84,6 +85,7 @@
     state: Mutex<DaemonState>,
     /// Since when the store has lost the table.
     table_lost_since: Mutex<Option<Time>>,
+    announcements: Mutex<Vec<Announcement>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -92,12 +94,9 @@
 
 impl PublishedState {
     /// Replaces the published state.
-    pub(crate) fn put(
-        &self,
-        table: &ActiveTable,
-        instances: Vec<(EntryVersion, Instance)>,
-        is_current: bool,
-    ) {
+    pub(crate) fn put(&self, table: &ActiveTable, directory: &Directory, is_current: bool) {
+        let instances = directory.entries();
+        *lock(&self.announcements) = directory.announcements();
         let mut state = lock(&self.state);
         state.table = table.table().map(|t| (**t).clone());
         state.table_era = table.era();
@@ -148,10 +147,13 @@
         let known = if is_same { Vec::new() } else { self.peers.members() };
         self.peers.record_alive(&Member::from(from));
         let table = lock(&self.published.state).table.as_ref().map_or(0, |t| t.version);
+        let now = Clock.now();
+        let announced = lock(&self.published.announcements);
         Introduction {
             own: WireMember::from(self.peers.own()),
             members: WireMembers::from(known.as_slice()),
             table,
+            announcements: announced.iter().map(|a| WireAnnouncement::new(a, now)).collect(),
         }
     }
 
@@ -309,6 +311,7 @@
         return false;
     };
     let own = WireMember::from(control.peers.own());
+    let requested_at = Clock.now();
     let call = async {
         let client = connect(&control.metrics, peer).await?;
         let members = control.peers.fingerprint();
@@ -317,7 +320,7 @@
     match tokio::time::timeout(PEER_CALL_TIMEOUT, call).await {
         Ok(Ok(introduction)) => {
             let has_newer_table = is_behind(control, introduction.table);
-            merge_introduction(control, introduction);
+            merge_introduction(control, introduction, requested_at);
             if has_newer_table {
                 fetch_from_peer(control, peer).await;
             }
@@ -338,9 +341,18 @@
     table.table().is_some() && table.version() < peer_version
 }
 
-fn merge_introduction(control: &Control, introduction: Introduction) {
+/// Merges what a peer answered to a call that was sent at `requested_at`.
+fn merge_introduction(control: &Control, introduction: Introduction, requested_at: Time) {
     control.peers.record_alive(&Member::from(introduction.own));
     control.peers.merge(&Vec::from(introduction.members));
+    let mut changed = false;
+    for announcement in introduction.announcements {
+        let announcement = announcement.received(requested_at);
+        changed |= control.directory.borrow_mut().merge_announcement(announcement);
+    }
+    if changed {
+        control.publish();
+    }
 }
 
 /// Removes a peer that does not answer.
@@ -353,19 +365,27 @@
     let mut peers = control.peers.all();
     peers.shuffle(&mut rand::rng());
     let calls = peers.iter().take(FETCH_CONCURRENCY).map(|peer| fetch_state(control, *peer));
-    for (peer, answer) in join_all(calls).await {
-        merge_answer(control, peer, answer);
+    for answer in join_all(calls).await {
+        merge_answer(control, answer);
     }
 }
 
 async fn fetch_from_peer(control: &Control, peer: SocketAddr) {
-    let (peer, answer) = fetch_state(control, peer).await;
-    merge_answer(control, peer, answer);
+    let answer = fetch_state(control, peer).await;
+    merge_answer(control, answer);
 }
 
-fn merge_answer(control: &Control, peer: SocketAddr, answer: Result<DaemonState, PeerError>) {
-    match answer {
-        Ok(state) => merge_state(control, peer, state),
+/// What a peer answered to a request for its state.
+struct PeerAnswer {
+    peer: SocketAddr,
+    requested_at: Time,
+    result: Result<DaemonState, PeerError>,
+}
+
+fn merge_answer(control: &Control, answer: PeerAnswer) {
+    let PeerAnswer { peer, requested_at, result } = answer;
+    match result {
+        Ok(state) => merge_state(control, peer, state, requested_at),
         Err(err) => {
             tracing::debug!(%peer, error = %err, "fetching the state of a peer failed");
             forget(control, peer);
@@ -373,10 +393,8 @@
     }
 }
 
-async fn fetch_state(
-    control: &Control,
-    peer: SocketAddr,
-) -> (SocketAddr, Result<DaemonState, PeerError>) {
+async fn fetch_state(control: &Control, peer: SocketAddr) -> PeerAnswer {
+    let requested_at = Clock.now();
     let version = control.table.borrow().version();
     let call = async {
         let client = connect(&control.metrics, peer).await?;
@@ -385,7 +403,7 @@
         Ok(client.know(context::current(), own, version, members).await?)
     };
     let answer = tokio::time::timeout(PEER_CALL_TIMEOUT, call).await;
-    (peer, answer.unwrap_or(Err(PeerError::TimedOut)))
+    PeerAnswer { peer, requested_at, result: answer.unwrap_or(Err(PeerError::TimedOut)) }
 }
 
 /// Polls some peers on whether an instance answers them; returns the numbers of negative and
@@ -432,9 +450,9 @@
     }
 }
 
-fn merge_state(control: &Control, peer: SocketAddr, state: DaemonState) {
+fn merge_state(control: &Control, peer: SocketAddr, state: DaemonState, requested_at: Time) {
     if let Some(introduction) = state.introduction {
-        merge_introduction(control, introduction);
+        merge_introduction(control, introduction, requested_at);
     }
     if let Some(table) = state.table {
         let lost_for = Duration::from_millis(state.table_lost_ms);
@@ -444,6 +462,7 @@
         return;
     }
     let mut changed = false;
+    let accepted_after = requested_at - max_directory_delay(control.settings.instance_drain_limit);
     let origins = state.origins.into_iter().chain(std::iter::repeat(EntryOrigin::default()));
     for ((number, instance), origin) in state.instances.into_iter().zip(origins) {
         let version = EntryVersion {
@@ -451,7 +470,8 @@
             born_ms: instance.born_ms,
             sequence: origin.sequence,
         };
-        changed |= control.directory.borrow_mut().merge_entry(version, instance);
+        let mut directory = control.directory.borrow_mut();
+        changed |= directory.merge_entry(version, instance, accepted_after);
     }
     let is_first = !control.has_directory.replace(true);
     if changed || is_first {
--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -7,6 +7,8 @@
 //!   the instance has replaced since.
 //! - A missing entry stays usable for a limited time, because entries also expire while the store
 //!   is unavailable; the time counts only while the store answers.
+//! - An instance that leaves receives new work for a limited time after its announcement, whether or
+//!   not it is the primary.
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
@@ -18,6 +20,7 @@
 };
 use persimmon_types::Time;
 
+use crate::announcements::{Announcement, Announcements};
 use crate::snapshot::DirectoryEntry;
 
 /// Maximum time for which a missing instance is kept: two seconds for its entry to return, plus the
@@ -38,6 +41,10 @@
     instance_drain_limit / DETECTION_DIVISOR
 }
 
+/// Multiple of the instance drain limit after which an announcement of an instance that is not
+/// listed as draining is forgotten.
+const ANNOUNCEMENT_RETENTION: u32 = 2;
+
 /// What orders the reports of one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EntryVersion {
@@ -81,8 +88,10 @@
 /// The known instances of all services.
 #[derive(Clone, Debug)]
 pub struct Directory {
+    instance_drain_limit: Duration,
     /// How long a missing instance is kept.
     missing_retention: Duration,
+    announcements: Announcements,
     entries: HashMap<Arc<str>, Entry>,
     /// Versions of removed entries, so that a delayed write does not restore them.
     removed: HashMap<Arc<str>, EntryVersion>,
@@ -96,6 +105,8 @@
     pub fn new(instance_drain_limit: Duration) -> Self {
         let reserved = max_directory_delay(instance_drain_limit) + IN_FLIGHT_ALLOWANCE;
         Self {
+            instance_drain_limit,
+            announcements: Announcements::default(),
             missing_retention: MISSING_RETENTION.min(instance_drain_limit.saturating_sub(reserved)),
             entries: HashMap::new(),
             removed: HashMap::new(),
@@ -103,11 +114,17 @@
         }
     }
 
-    /// Applies a full listing; returns whether anything but heartbeats changed.
-    pub fn apply_listing(&mut self, object_decoder: &dyn ObjectDecoder, listing: &Listing) -> bool {
+    /// Applies a full listing, which contains every report that the store accepted before
+    /// `complete_until`; returns whether anything but heartbeats changed.
+    pub fn apply_listing(
+        &mut self,
+        object_decoder: &dyn ObjectDecoder,
+        listing: &Listing,
+        complete_until: Time,
+    ) -> bool {
         let mut changed = false;
         for object in &listing.objects {
-            changed |= self.apply_object(object_decoder, object, true);
+            changed |= self.apply_object(object_decoder, object, true, complete_until);
         }
         for (id, entry) in &mut self.entries {
             let is_listed = listing.objects.iter().any(|o| o.name == *id);
@@ -119,10 +136,18 @@
         changed
     }
 
-    /// Applies one change; returns whether it changed anything but a heartbeat.
-    pub fn apply_change(&mut self, object_decoder: &dyn ObjectDecoder, change: &Change) -> bool {
+    /// Applies one change, which the store accepted after `accepted_after`; returns whether it
+    /// changed anything but a heartbeat.
+    pub fn apply_change(
+        &mut self,
+        object_decoder: &dyn ObjectDecoder,
+        change: &Change,
+        accepted_after: Time,
+    ) -> bool {
         match change {
-            Change::Written(object) => self.apply_object(object_decoder, object, false),
+            Change::Written(object) => {
+                self.apply_object(object_decoder, object, false, accepted_after)
+            }
             Change::Removed(id) => self.mark_missing(id),
         }
     }
@@ -151,6 +176,7 @@
         object_decoder: &dyn ObjectDecoder,
         object: &Object,
         is_listed: bool,
+        accepted_after: Time,
     ) -> bool {
         let known = self.known_version(&object.name);
         if known.is_some_and(|known| known.revision > object.revision) {
@@ -177,7 +203,7 @@
             Some(Ordering::Equal) if self.entries.contains_key(&object.name) => {
                 self.mark_present(&object.name)
             }
-            Some(_) | None => self.insert(version, report.instance),
+            Some(_) | None => self.insert(version, report.instance, accepted_after),
         }
     }
 
@@ -190,16 +216,44 @@
         missing_for.is_some()
     }
 
-    /// Merges an entry received from a peer; returns whether it changed anything.
-    pub fn merge_entry(&mut self, version: EntryVersion, instance: Instance) -> bool {
+    /// Merges an entry received from a peer, which the store accepted after `accepted_after`;
+    /// returns whether it changed anything.
+    pub fn merge_entry(
+        &mut self,
+        version: EntryVersion,
+        instance: Instance,
+        accepted_after: Time,
+    ) -> bool {
         let known = self.known_version(&instance.id);
         if known.is_some_and(|known| version.compare(&known) != Ordering::Greater) {
             return false;
         }
-        self.insert(version, instance)
+        self.insert(version, instance, accepted_after)
+    }
+
+    /// Merges an announcement that a peer knows; returns whether it was unknown.
+    pub fn merge_announcement(&mut self, announcement: Announcement) -> bool {
+        self.announcements.record(announcement)
     }
 
-    fn insert(&mut self, version: EntryVersion, instance: Instance) -> bool {
+    /// When the instances announced that they leave.
+    #[must_use]
+    pub fn announcements(&self) -> Vec<Announcement> {
+        self.announcements.all()
+    }
+
+    fn insert(&mut self, version: EntryVersion, instance: Instance, accepted_after: Time) -> bool {
+        let was_draining =
+            self.entries.get(&instance.id).is_some_and(|before| before.instance.is_draining);
+        if instance.is_draining {
+            self.announcements.record(Announcement {
+                instance: Arc::clone(&instance.id),
+                born_ms: instance.born_ms,
+                since: accepted_after,
+            });
+        } else if was_draining {
+            self.announcements.remove(&instance.id);
+        }
         let entry = Entry { instance: Arc::new(instance), version, missing_for: None };
         let before = self.entries.get(&entry.instance.id);
         let changed =
@@ -225,8 +279,9 @@
 
     /// Advances the time; returns whether a missing instance was removed.
     pub fn tick(&mut self, now: Time, store_answers: bool) -> bool {
-        let passed = self.ticked_at.map_or(Duration::ZERO, |at| now.since(at));
-        self.ticked_at = Some(now);
+        let before = self.ticked_at.replace(now).unwrap_or(now);
+        let passed = now.since(before);
+        self.log_drained(before, now);
         let mut expired = Vec::new();
         for (id, entry) in &mut self.entries {
             let Some(missing_for) = &mut entry.missing_for else {
@@ -248,9 +303,35 @@
             self.entries.remove(id);
             self.removed.insert(Arc::clone(id), *version);
         }
+        let max_age = self.instance_drain_limit * ANNOUNCEMENT_RETENTION;
+        let entries = &self.entries;
+        self.announcements.retain(now, max_age, |announcement| {
+            entries.get(&announcement.instance).is_some_and(|entry| {
+                entry.instance.is_draining && entry.instance.born_ms == announcement.born_ms
+            })
+        });
         !expired.is_empty()
     }
 
+    /// Logs the instances whose drain deadline has passed since `before`.
+    fn log_drained(&self, before: Time, now: Time) {
+        for Entry { instance, .. } in self.entries.values() {
+            let Some(deadline) = self.drain_deadline(instance) else {
+                continue;
+            };
+            if before < deadline && deadline <= now {
+                tracing::info!(instance = %instance.id, service = %instance.service,
+                    role = ?instance.role, "an instance that leaves receives no new work any more");
+            }
+        }
+    }
+
+    /// From when on an instance that leaves receives no new work.
+    fn drain_deadline(&self, instance: &Instance) -> Option<Time> {
+        let since = self.announcements.since(instance).filter(|_| instance.is_draining)?;
+        Some(since + self.instance_drain_limit.saturating_sub(IN_FLIGHT_ALLOWANCE))
+    }
+
     /// The instances by service, sorted by id.
     #[must_use]
     pub fn by_service(&self) -> HashMap<Arc<str>, Vec<DirectoryEntry>> {
@@ -260,6 +341,7 @@
                 instance: Arc::clone(&entry.instance),
                 revision: entry.version.revision,
                 missing_for: entry.missing_for,
+                drain_deadline: self.drain_deadline(&entry.instance),
             };
             services.entry(Arc::clone(&entry.instance.service)).or_default().push(listed);
         }
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -201,13 +201,14 @@
             job.last_commit_position.map_or(min_position, |own| own.max(min_position));
         let snapshot = self.snapshot();
         let primary = self.believed_primary(service).map(|p| Arc::clone(&p.id));
+        let now = Clock.now();
         let listed = snapshot.instances(service);
         let loads: Vec<_> =
             listed.iter().map(|entry| self.pool.load_and_idle(&entry.instance.id)).collect();
         let mut candidates = Vec::with_capacity(listed.len());
         for (index, (entry, (load, is_connected))) in listed.iter().zip(&loads).enumerate() {
             let is_primary = primary.as_ref() == Some(&entry.instance.id);
-            if !entry.accepts_work() && !is_primary {
+            if entry.has_drained(now) || !entry.accepts_work() && !is_primary {
                 continue;
             }
             candidates.push(Candidate {
@@ -220,7 +221,7 @@
             });
         }
         let start = rand::rng().random_range(0..candidates.len().max(1));
-        if let Some(index) = choose_instance(Clock.now(), min_position, &candidates, start) {
+        if let Some(index) = choose_instance(now, min_position, &candidates, start) {
             execution.after = Some(min_position);
             return Some(Arc::clone(&listed[index].instance));
         }
@@ -243,6 +244,10 @@
         let opened = self.ready_connection(job, execution, instance, desired).await;
         execution.connection_wait += Clock.now().since(began);
         let mut connection = opened?;
+        if self.has_drained(instance) {
+            self.rollback_if_open(connection).await;
+            return Err(AttemptFailure::NotSent);
+        }
         let after = if execution.mode == ExecutionMode::Copy { execution.after } else { None };
         let rolls_back = execution.mode == ExecutionMode::Guarded;
         let mut limit = job.deadline.since(Clock.now()).max(Duration::from_millis(1));
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod active_table;
 mod adapter;
+mod announcements;
 mod connection;
 mod control;
 mod directory;
@@ -41,6 +42,7 @@
 
 pub use active_table::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 pub use adapter::{Adapter, PlatformClients};
+pub use announcements::Announcement;
 pub use directory::{Directory, EntryVersion};
 pub use logging::{LineBudget, LogBudget, start_logging};
 pub use metrics::Metrics;
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -3,14 +3,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use persimmon_interfaces::{Instance, Table};
-use persimmon_types::Position;
+use persimmon_types::{Position, Time};
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::formats::Json;
 use tarpc::{client, serde_transport};
 use thiserror::Error;
 
+use crate::announcements::Announcement;
 use crate::metrics::Metrics;
 use crate::relay::{RelayReply, RelayedKind, WireRevision};
 use crate::wire_member::{WireMember, WireMembers};
@@ -58,6 +60,38 @@
     /// The daemon's active version of the table; zero if it has none or does not tell.
     #[serde(default)]
     pub(crate) table: u64,
+    /// Announcements of instances that leave.
+    #[serde(default)]
+    pub(crate) announcements: Vec<WireAnnouncement>,
+}
+
+/// That an instance leaves, with the age of its announcement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct WireAnnouncement {
+    pub(crate) instance: Arc<str>,
+    pub(crate) born_ms: u64,
+    pub(crate) age_ms: u64,
+}
+
+impl WireAnnouncement {
+    /// The form in which `announcement` is sent at `now`.
+    pub(crate) fn new(announcement: &Announcement, now: Time) -> Self {
+        let age_ms = now.since(announcement.since).as_millis();
+        Self {
+            instance: Arc::clone(&announcement.instance),
+            born_ms: announcement.born_ms,
+            age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// The announcement, received in answer to a call that was sent at `requested_at`.
+    pub(crate) fn received(self, requested_at: Time) -> Announcement {
+        Announcement {
+            instance: self.instance,
+            born_ms: self.born_ms,
+            since: requested_at - Duration::from_millis(self.age_ms),
+        }
+    }
 }
 
 /// A sample of a primary's position, with its age at the daemon that took it.
--- a/crates/persimmon-proxy/src/primaries.rs
+++ b/crates/persimmon-proxy/src/primaries.rs
@@ -47,6 +47,13 @@
     pub(crate) samples: PositionSamples,
 }
 
+impl PrimaryState {
+    /// Whether the directory's claim that an instance is primary is ignored.
+    fn is_distrusted(&self, id: &str, now: Time) -> bool {
+        self.distrusted.get(id).is_some_and(|expiry| now < *expiry)
+    }
+}
+
 impl Worker {
     fn primary_state<T>(&self, service: &Arc<str>, f: impl FnOnce(&mut PrimaryState) -> T) -> T {
         f(self.primary_states.borrow_mut().entry(Arc::clone(service)).or_default())
@@ -98,12 +105,34 @@
         }
         let declared = snapshot.self_declared_primary(service)?;
         let id = &declared.instance.id;
-        let is_distrusted = self.primary_state(service, |state| {
-            state.distrusted.get(id).is_some_and(|expiry| now < *expiry)
-        });
+        let is_distrusted = self.primary_state(service, |state| state.is_distrusted(id, now));
         (!is_distrusted).then(|| Arc::clone(&declared.instance))
     }
 
+    /// The instance that is believed to be primary, unless it has left the service for new work.
+    fn available_primary(&self, service: &Arc<str>) -> Option<Arc<Instance>> {
+        let snapshot = self.snapshot();
+        let now = Clock.now();
+        let is_available = |id: &Arc<str>| {
+            snapshot.instance(service, id).is_some_and(|entry| !entry.has_drained(now))
+        };
+        if let Some(believed) = self.believed_primary(service).filter(|i| is_available(&i.id)) {
+            return Some(believed);
+        }
+        // A successor announces itself before a statement has shown that it is the primary.
+        let declared = snapshot.self_declared_primary(service)?;
+        let id = &declared.instance.id;
+        let is_distrusted = self.primary_state(service, |state| state.is_distrusted(id, now));
+        (!is_distrusted && is_available(id)).then(|| Arc::clone(&declared.instance))
+    }
+
+    /// Whether an instance has left the service for new work.
+    pub(crate) fn has_drained(&self, instance: &Instance) -> bool {
+        let snapshot = self.snapshot();
+        let entry = snapshot.instance(&instance.service, &instance.id);
+        entry.is_some_and(|entry| entry.has_drained(Clock.now()))
+    }
+
     /// Records that an instance is not primary, or cannot be reached.
     pub(crate) fn record_not_primary(&self, service: &Arc<str>, instance: &Arc<str>, why: &str) {
         let now = Clock.now();
@@ -137,14 +166,14 @@
         }
     }
 
-    /// The instance that is believed to be primary; probes all instances if there is none.
+    /// The primary that new work may go to; probes all instances if none is known.
     pub(crate) async fn find_primary(
         &self,
         service: &Arc<str>,
         deadline: Time,
     ) -> Option<Arc<Instance>> {
         loop {
-            if let Some(instance) = self.believed_primary(service) {
+            if let Some(instance) = self.available_primary(service) {
                 return Some(instance);
             }
             if Clock.now() >= deadline {
@@ -161,7 +190,7 @@
                 let searching = self.searching(service);
                 self.probe_all(service).await;
                 drop(searching);
-                if self.believed_primary(service).is_none() {
+                if self.available_primary(service).is_none() {
                     tokio::time::sleep(SEARCH_RETRY_DELAY.min(deadline.since(Clock.now()))).await;
                 }
                 continue;
@@ -173,9 +202,9 @@
 
     async fn probe_all(&self, service: &Arc<str>) {
         let snapshot = self.snapshot();
-        let probes =
-            snapshot.instances(service).iter().map(|entry| self.probe_one(&entry.instance));
-        join_all(probes).await;
+        let now = Clock.now();
+        let listed = snapshot.instances(service).iter().filter(|entry| !entry.has_drained(now));
+        join_all(listed.map(|entry| self.probe_one(&entry.instance))).await;
     }
 
     async fn probe_one(&self, instance: &Arc<Instance>) {
@@ -348,7 +377,12 @@
     /// Samples the primary's position; returns whether the primary answered.
     async fn sample_directly(&self, service: &Arc<str>, deadline: Time) -> bool {
         Metrics::increment(&self.metrics.samples);
-        let Some(primary) = self.find_primary(service, deadline).await else {
+        // A sample is no new work, so that it may come from a primary that leaves.
+        let primary = match self.believed_primary(service) {
+            Some(primary) => Some(primary),
+            None => self.find_primary(service, deadline).await,
+        };
+        let Some(primary) = primary else {
             return false;
         };
         match self.open_primary_transaction(&primary, &DesiredState::default(), deadline).await {
--- a/crates/persimmon-proxy/src/snapshot.rs
+++ b/crates/persimmon-proxy/src/snapshot.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{Instance, Revision, Role, Table};
+use persimmon_types::Time;
 
 /// An instance in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +16,8 @@
     pub revision: Revision,
     /// How long the entry has been missing while the store answered.
     pub missing_for: Option<Duration>,
+    /// From when on the instance receives no new work, if it has announced that it leaves.
+    pub drain_deadline: Option<Time>,
 }
 
 impl DirectoryEntry {
@@ -23,6 +26,13 @@
     pub fn accepts_work(&self) -> bool {
         !self.instance.is_draining && self.missing_for.is_none()
     }
+
+    /// Whether the instance announced so long ago that it leaves that it receives no new work, even
+    /// if no other one can run it.
+    #[must_use]
+    pub fn has_drained(&self, now: Time) -> bool {
+        self.drain_deadline.is_some_and(|deadline| now >= deadline)
+    }
 }
 
 /// An immutable snapshot of the table and the directory.
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -7,7 +7,7 @@
     Change, DecodeError, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision, Role,
     Table,
 };
-use persimmon_proxy::{Directory, EntryVersion, RoutingSnapshot};
+use persimmon_proxy::{Announcement, Directory, EntryVersion, RoutingSnapshot};
 use persimmon_types::Time;
 use serde::Deserialize;
 
@@ -69,7 +69,8 @@
 
 fn directory(drain_limit_ms: u64, objects: Vec<Object>) -> Directory {
     let mut directory = Directory::new(Duration::from_millis(drain_limit_ms));
-    directory.apply_listing(&IdentityDecoder, &Listing { objects, revision: at_revision(10) });
+    let listing = Listing { objects, revision: at_revision(10) };
+    directory.apply_listing(&IdentityDecoder, &listing, at(0));
     directory
 }
 
@@ -83,7 +84,7 @@
 fn retention_ms(drain_limit_ms: u64) -> u64 {
     let mut directory = directory(drain_limit_ms, vec![entry("i-1", 1, Role::Replica)]);
     directory.tick(at(0), true);
-    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")));
+    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")), at(0));
     (0..20_000)
         .step_by(100)
         .find(|ms| directory.tick(at(*ms), true))
@@ -95,7 +96,11 @@
     let old = entry("i-1", 1, Role::Primary);
     let mut directory = directory(7_000, vec![old, entry("i-2", 2, Role::Replica)]);
 
-    directory.apply_change(&IdentityDecoder, &Change::Written(entry("i-2", 7, Role::Primary)));
+    directory.apply_change(
+        &IdentityDecoder,
+        &Change::Written(entry("i-2", 7, Role::Primary)),
+        at(0),
+    );
 
     assert_eq!(primary(&directory).as_deref(), Some("i-2"));
 }
@@ -105,7 +110,7 @@
     let late = entry("i-1", 9, Role::Primary);
     let mut directory = directory(7_000, vec![late, entry("i-2", 7, Role::Primary)]);
 
-    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")));
+    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")), at(0));
 
     assert_eq!(primary(&directory).as_deref(), Some("i-2"));
 }
@@ -135,7 +140,7 @@
     let draining = report(at_revision(8), instance("i-1", Role::Replica, true), 8);
     let leading = report(at_revision(9), instance("i-2", Role::Primary, false), 9);
     for written in [draining, leading] {
-        directory.apply_change(&IdentityDecoder, &Change::Written(written));
+        directory.apply_change(&IdentityDecoder, &Change::Written(written), at(0));
     }
     directory
 }
@@ -161,7 +166,7 @@
 fn restored_listing_does_not_bring_a_draining_instance_back() {
     let mut directory = directory_before_restore();
 
-    directory.apply_listing(&IdentityDecoder, &restored_listing());
+    directory.apply_listing(&IdentityDecoder, &restored_listing(), at(0));
 
     assert_eq!(is_draining(&directory, "i-1"), Some(true));
     assert_eq!(primary(&directory).as_deref(), Some("i-2"));
@@ -170,11 +175,11 @@
 #[test]
 fn reports_written_after_a_restore_are_taken_whatever_their_number() {
     let mut directory = directory_before_restore();
-    directory.apply_listing(&IdentityDecoder, &restored_listing());
+    directory.apply_listing(&IdentityDecoder, &restored_listing(), at(0));
 
     // The next number of the restored store is below those of before.
     let ready = report(restored(6), instance("i-1", Role::Replica, false), 10);
-    directory.apply_change(&IdentityDecoder, &Change::Written(ready));
+    directory.apply_change(&IdentityDecoder, &Change::Written(ready), at(0));
 
     assert_eq!(is_draining(&directory, "i-1"), Some(false));
 }
@@ -185,7 +190,7 @@
     let ready = report(restored(6), instance("i-1", Role::Replica, false), 10);
     let listing = Listing { objects: vec![ready], revision: restored(6) };
 
-    directory.apply_listing(&IdentityDecoder, &listing);
+    directory.apply_listing(&IdentityDecoder, &listing, at(0));
 
     assert_eq!(is_draining(&directory, "i-1"), Some(false));
 }
@@ -194,10 +199,10 @@
 fn instance_removed_before_a_restore_does_not_return_from_the_copy() {
     let mut directory = directory_before_restore();
     directory.tick(at(0), true);
-    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")));
+    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")), at(0));
     directory.tick(at(10_000), true);
 
-    directory.apply_listing(&IdentityDecoder, &restored_listing());
+    directory.apply_listing(&IdentityDecoder, &restored_listing(), at(0));
 
     assert_eq!(is_draining(&directory, "i-1"), None);
 }
@@ -207,11 +212,11 @@
     let mut directory = directory_before_restore();
     directory.tick(at(0), true);
     let lost = Listing { objects: Vec::new(), revision: restored(5) };
-    directory.apply_listing(&IdentityDecoder, &lost);
+    directory.apply_listing(&IdentityDecoder, &lost, at(0));
     let again = report(restored(6), instance("i-2", Role::Primary, false), 9);
     let listing = Listing { objects: vec![again], revision: restored(6) };
 
-    directory.apply_listing(&IdentityDecoder, &listing);
+    directory.apply_listing(&IdentityDecoder, &listing, at(0));
 
     let services = directory.by_service();
     let is_present =
@@ -222,11 +227,11 @@
 #[test]
 fn daemon_that_started_after_a_restore_takes_newer_reports_of_peers() {
     let mut newcomer = Directory::new(Duration::from_millis(7_000));
-    newcomer.apply_listing(&IdentityDecoder, &restored_listing());
+    newcomer.apply_listing(&IdentityDecoder, &restored_listing(), at(0));
     let peer = directory_before_restore();
 
     for (version, instance) in peer.entries() {
-        newcomer.merge_entry(version, instance);
+        newcomer.merge_entry(version, instance, at(0));
     }
 
     assert_eq!(is_draining(&newcomer, "i-1"), Some(true));
@@ -238,11 +243,61 @@
     let mut directory = directory_before_restore();
     let version = EntryVersion { revision: at_revision(12), born_ms: 500, sequence: 1 };
     let reborn = Instance { born_ms: 500, ..instance("i-1", Role::Replica, false) };
-    assert!(directory.merge_entry(version, reborn));
+    assert!(directory.merge_entry(version, reborn, at(0)));
 
-    directory.apply_listing(&IdentityDecoder, &restored_listing());
+    directory.apply_listing(&IdentityDecoder, &restored_listing(), at(0));
 
     let services = directory.by_service();
     let entry = services[SERVICE].iter().find(|e| &*e.instance.id == "i-1").expect("an entry");
     assert_eq!(entry.instance.born_ms, 500);
 }
+
+/// When `i-1` receives no new work any more.
+fn drain_deadline(directory: &Directory) -> Option<Time> {
+    let services = directory.by_service();
+    services[SERVICE].iter().find(|e| &*e.instance.id == "i-1").and_then(|e| e.drain_deadline)
+}
+
+fn draining_at(number: u64) -> Change {
+    Change::Written(report(at_revision(number), instance("i-1", Role::Primary, true), number))
+}
+
+#[test]
+fn drain_limit_counts_from_the_first_report_and_not_from_a_heartbeat() {
+    let mut directory = directory(7_000, vec![entry("i-1", 1, Role::Primary)]);
+    assert_eq!(drain_deadline(&directory), None);
+
+    directory.apply_change(&IdentityDecoder, &draining_at(11), at(1_000));
+    let deadline = drain_deadline(&directory).expect("a deadline");
+    directory.apply_change(&IdentityDecoder, &draining_at(12), at(5_000));
+
+    assert_eq!(drain_deadline(&directory), Some(deadline));
+    assert!(deadline < at(8_000), "the limit includes what is in flight");
+}
+
+#[test]
+fn drain_limit_counts_from_the_announcement_that_a_peer_knows() {
+    let mut newcomer = directory(7_000, vec![entry("i-1", 1, Role::Primary)]);
+    let since = at(1_000);
+    newcomer.merge_announcement(Announcement { instance: Arc::from("i-1"), born_ms: 1, since });
+
+    newcomer.apply_change(&IdentityDecoder, &draining_at(11), at(6_000));
+
+    assert!(drain_deadline(&newcomer).expect("a deadline") < at(8_000));
+}
+
+#[test]
+fn announcement_of_a_former_process_does_not_drain_the_next_one() {
+    let mut directory = directory(7_000, vec![entry("i-1", 1, Role::Primary)]);
+    directory.apply_change(&IdentityDecoder, &draining_at(11), at(1_000));
+    let reborn = Instance { born_ms: 500, ..instance("i-1", Role::Replica, false) };
+    let written = Change::Written(report(at_revision(12), reborn.clone(), 1));
+    directory.apply_change(&IdentityDecoder, &written, at(9_000));
+    assert_eq!(drain_deadline(&directory), None);
+
+    let leaving = Instance { is_draining: true, ..reborn };
+    let written = Change::Written(report(at_revision(13), leaving, 2));
+    directory.apply_change(&IdentityDecoder, &written, at(20_000));
+
+    assert!(drain_deadline(&directory).expect("a deadline") > at(20_000));
+}
