Log an invalid directory entry once for each of its changes

A listing logged every invalid entry again, so that one odd entry filled the log of a fleet that lists often. The revision that was logged is kept while the entry is listed.

--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{
-    Change, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision,
+    Change, DecodeError, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision,
 };
 use persimmon_types::Time;
 
@@ -93,6 +93,8 @@
     missing_retention: Duration,
     announcements: Announcements,
     entries: HashMap<Arc<str>, Entry>,
+    /// Revisions of the invalid entries that were logged.
+    invalid: HashMap<Arc<str>, Revision>,
     /// Versions of removed entries, so that a delayed write does not restore them.
     removed: HashMap<Arc<str>, EntryVersion>,
     ticked_at: Option<Time>,
@@ -109,6 +111,7 @@
             announcements: Announcements::default(),
             missing_retention: MISSING_RETENTION.min(instance_drain_limit.saturating_sub(reserved)),
             entries: HashMap::new(),
+            invalid: HashMap::new(),
             removed: HashMap::new(),
             ticked_at: None,
         }
@@ -133,6 +136,7 @@
                 changed = true;
             }
         }
+        self.invalid.retain(|name, _| listing.objects.iter().any(|o| o.name == *name));
         changed
     }
 
@@ -148,7 +152,10 @@
             Change::Written(object) => {
                 self.apply_object(object_decoder, object, false, accepted_after)
             }
-            Change::Removed(id) => self.mark_missing(id),
+            Change::Removed(id) => {
+                self.invalid.remove(id);
+                self.mark_missing(id)
+            }
         }
     }
 
@@ -185,11 +192,11 @@
         let report = match object_decoder.decode_instance(object) {
             Ok(report) => report,
             Err(err) => {
-                tracing::warn!(revision = %object.revision, problem = %err,
-                    "the directory entry is invalid and treated as missing");
+                self.log_invalid(object, &err);
                 return self.mark_missing(&object.name);
             }
         };
+        self.invalid.remove(&object.name);
         let version = EntryVersion::new(object.revision, &report);
         // What is written in a later era is new. What is listed may be from the copy.
         let restored = known.filter(|known| is_listed && known.revision.era != object.revision.era);
@@ -207,6 +214,15 @@
         }
     }
 
+    /// Logs that an entry is invalid, once for each of its changes.
+    fn log_invalid(&mut self, object: &Object, err: &DecodeError) {
+        let logged = self.invalid.insert(Arc::clone(&object.name), object.revision);
+        if logged != Some(object.revision) {
+            tracing::warn!(revision = %object.revision, problem = %err,
+                "the directory entry is invalid and treated as missing");
+        }
+    }
+
     /// Ends the absence of an entry that is listed again without a new report.
     fn mark_present(&mut self, id: &Arc<str>) -> bool {
         let missing_for = self.entries.get_mut(id).and_then(|entry| entry.missing_for.take());
