Ignore a promotion lock whose token no daemon can have given

Same class as the odd entries of instances: a record that another writer changed. A token of u64::MAX was raised by saturation, so that two daemons would have held the same one. Tokens contain the era in which they were acquired, so that one of a later era than the store's comes from nobody.

--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -247,10 +247,18 @@
     }
 }
 
-fn parse_lock_record(object: &Object) -> Option<PromotionLockRecord> {
-    PromotionLockRecord::deserialize(&object.value)
+/// The record of an object that was read in the store's era `era`; `None` if no daemon can have
+/// written it.
+fn parse_lock_record(object: &Object, era: u64) -> Option<PromotionLockRecord> {
+    let record = PromotionLockRecord::deserialize(&object.value)
         .inspect_err(|err| tracing::warn!(name = %object.name, error = %err, "bad lock record"))
-        .ok()
+        .ok()?;
+    if record.era() > era {
+        tracing::warn!(name = %object.name, token = record.token, era,
+            "the fencing token of a promotion lock is of a later era and ignored");
+        return None;
+    }
+    Some(record)
 }
 
 /// Acquires the promotion lock of a service by a conditional write. With `is_renewal`, the lock is
@@ -268,7 +276,7 @@
         }
     };
     control.record_era(era, "read");
-    let before = object.as_ref().and_then(parse_lock_record);
+    let before = object.as_ref().and_then(|object| parse_lock_record(object, era));
     let now = Clock.wall_ms();
     let is_taken = |r: &PromotionLockRecord| {
         r.era() == era && !r.is_held_by(&control.settings.name, control.incarnation)
@@ -342,7 +350,8 @@
     // A record that is read in a later era may be that of a write which the store has forgotten, or
     // which took effect after the restore.
     let read = read.ok().filter(|read| read.era == era);
-    let record = read.and_then(|read| read.object).as_ref().and_then(parse_lock_record);
+    let record = read.and_then(|read| read.object);
+    let record = record.as_ref().and_then(|object| parse_lock_record(object, era));
     let is_own = record.as_ref().is_some_and(|r| {
         r.is_held_by(&control.settings.name, control.incarnation) && r.token == fencing_token
     });
@@ -385,10 +394,11 @@
     ntex::rt::spawn(async move {
         let store = &control.platform.store;
         let read = store.read(ObjectKind::Duties, Arc::clone(&service)).await;
-        let Ok(ReadResult { object: Some(object), .. }) = read else {
+        let Ok(ReadResult { era, object: Some(object) }) = read else {
             return;
         };
-        let Some(record) = parse_lock_record(&object).filter(|r| r.token == fencing_token) else {
+        let Some(record) = parse_lock_record(&object, era).filter(|r| r.token == fencing_token)
+        else {
             return;
         };
         let record = PromotionLockRecord { ordered_ms: Clock.wall_ms(), ..record };
