--- a/crates/persimmon-lab/src/line_cluster/store.rs
+++ b/crates/persimmon-lab/src/line_cluster/store.rs
@@ -50,6 +50,10 @@
     oldest_revision: u64,
     objects: BTreeMap<(String, String), Stored>,
     events: Vec<(u64, String, Value)>,
+    /// Texts of values that another writer stored, each sent in place of its placeholder.
+    raw_values: Vec<(String, Vec<u8>)>,
+    /// Objects on one page of a listing; `None` for all of them.
+    page_size: Option<usize>,
     groups: Vec<Arc<Group>>,
     fencing_tokens: HashMap<String, (u64, String)>,
     faults: StoreFaults,
@@ -186,6 +190,34 @@
         self.changed.send_replace(revision);
     }
 
+    /// Writes an object whose value is sent as `text`, whether or not that is valid JSON.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &[u8]) {
+        let placeholder = {
+            let mut state = self.lock();
+            let placeholder = format!("raw value {}", state.raw_values.len());
+            state.raw_values.push((placeholder.clone(), text.to_vec()));
+            placeholder
+        };
+        self.put(kind, name, Value::String(placeholder));
+    }
+
+    /// Sets how many objects one page of a listing contains.
+    pub fn set_page_size(&self, page_size: usize) {
+        self.lock().page_size = Some(page_size);
+    }
+
+    /// A successful answer, with the texts of raw values in place of their placeholders.
+    fn answer(&self, body: &Value) -> HttpResponse {
+        let mut bytes = body.to_string().into_bytes();
+        for (placeholder, text) in &self.lock().raw_values {
+            let quoted = format!("{placeholder:?}").into_bytes();
+            while let Some(at) = bytes.windows(quoted.len()).position(|part| part == quoted) {
+                bytes.splice(at..at + quoted.len(), text.iter().copied());
+            }
+        }
+        HttpResponse::Ok().content_type("application/json").body(bytes)
+    }
+
     /// Removes an object and records the deletion for watches.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.lock();
@@ -226,16 +258,20 @@
         (newer.map(|(_, _, event)| event.clone()).collect(), state.revision)
     }
 
-    fn list(&self, kind: &str) -> Value {
+    fn list(&self, kind: &str, after: &str) -> Value {
         let state = self.lock();
-        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
-        let items: Vec<Value> = of_kind.map(|((_, name), o)| object_json(name, o)).collect();
-        json!({"items": items, "has_more": false, "at": state.revision})
+        let of_kind = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+        let mut items: Vec<Value> = of_kind.map(|((_, name), o)| object_json(name, o)).collect();
+        let page_size = state.page_size.unwrap_or(items.len());
+        let has_more = items.len() > page_size;
+        items.truncate(page_size);
+        json!({"items": items, "has_more": has_more, "at": state.revision})
     }
 
     fn read(&self, kind: &str, name: &str) -> HttpResponse {
-        match self.lock().objects.get(&(kind.to_owned(), name.to_owned())) {
-            Some(stored) => HttpResponse::Ok().json(&object_json(name, stored)),
+        let stored = self.lock().objects.get(&(kind.to_owned(), name.to_owned())).cloned();
+        match &stored {
+            Some(stored) => self.answer(&object_json(name, stored)),
             None => HttpResponse::NotFound().finish(),
         }
     }
@@ -255,7 +291,7 @@
             let (events, at) = self.events_after(kind, after);
             let has_timed_out = tokio::time::Instant::now() >= deadline;
             if !events.is_empty() || has_timed_out {
-                return HttpResponse::Ok().json(&json!({"events": events, "at": at}));
+                return self.answer(&json!({"events": events, "at": at}));
             }
             // On a timeout the next turn of the loop sees that the wait is over.
             let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
@@ -328,6 +364,7 @@
 struct ListQuery {
     watch: Option<u64>,
     wait_ms: Option<u64>,
+    after: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -363,7 +400,8 @@
         let res = store.watch(&kind, after, wait).await;
         return store.with_era(res);
     }
-    store.with_era(HttpResponse::Ok().json(&store.list(&kind)))
+    let listing = store.list(&kind, query.after.as_deref().unwrap_or_default());
+    store.with_era(store.answer(&listing))
 }
 
 /// Reads one object.
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the table and the directory in the store: one listing, then changes from its revision,
 //! which few daemons request from the store and the others from them.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use persimmon_interfaces::{Change, Changes, Listing, ObjectKind, Revision, StoreError};
+use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind, Revision, StoreError};
 use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
 use persimmon_types::{Clock, Time};
 use rand::Rng;
@@ -353,11 +354,38 @@
         }
     }
 
+    /// Whether other daemons use an object. Another writer may store any number of large ones beside
+    /// the table.
+    fn is_relayed(&self, object: &Object) -> bool {
+        self.kind != ObjectKind::Table || self.control.object_decoder.is_table(object)
+    }
+
+    fn relayed_listing<'b>(&self, listing: &'b Listing) -> Cow<'b, Listing> {
+        let is_relayed = |object: &&Object| self.is_relayed(object);
+        if listing.objects.iter().all(|object| is_relayed(&object)) {
+            return Cow::Borrowed(listing);
+        }
+        let objects = listing.objects.iter().filter(is_relayed).cloned().collect();
+        Cow::Owned(Listing { objects, revision: listing.revision })
+    }
+
+    fn relayed_changes<'b>(&self, changes: &'b Changes) -> Cow<'b, Changes> {
+        let is_relayed = |change: &&Change| match change {
+            Change::Written(object) => self.is_relayed(object),
+            Change::Removed(_) => true,
+        };
+        if changes.changes.iter().all(|change| is_relayed(&change)) {
+            return Cow::Borrowed(changes);
+        }
+        let kept = changes.changes.iter().filter(is_relayed).cloned().collect();
+        Cow::Owned(Changes { changes: kept, revision: changes.revision })
+    }
+
     fn apply_listing(&mut self, listing: &Listing) {
         self.control.record_era(listing.revision.era, "listing");
         self.revision = Some(listing.revision);
         if let Ok(kind) = RelayedKind::try_from(self.kind) {
-            self.control.relay.apply_listing(kind, listing);
+            self.control.relay.apply_listing(kind, &self.relayed_listing(listing));
         }
         if self.kind == ObjectKind::Table {
             for object in &listing.objects {
@@ -384,7 +412,7 @@
         };
         self.revision = Some(revision.max(changes.revision));
         if let Ok(kind) = RelayedKind::try_from(self.kind) {
-            self.control.relay.apply_changes(kind, changes);
+            self.control.relay.apply_changes(kind, &self.relayed_changes(changes));
         }
         apply_changes(self.control, self.kind, &changes.changes, accepted_after);
     }
@@ -408,7 +436,7 @@
     }
 }
 
-fn apply_table(control: &Control, object: &persimmon_interfaces::Object) {
+fn apply_table(control: &Control, object: &Object) {
     if !control.object_decoder.is_table(object) {
         return;
     }
