Do not list an instance again that left, from the last report in a restored copy

What the coordinator saw: the entry of a primary that had left and was removed came back from the copy, in a later era than its successor's, and was the declared primary until its lease ended. An instance that lives has written a later report. instance_that_left_does_not_return_with_its_last_report fails before.

--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -207,10 +207,9 @@
                     "the restored store lists an older entry, which is ignored");
                 false
             }
-            Some(Ordering::Equal) if self.entries.contains_key(&object.name) => {
-                self.mark_present(&object.name)
-            }
-            Some(_) | None => self.insert(version, report.instance, accepted_after),
+            // An instance that was removed and lives has written a later report by now.
+            Some(Ordering::Equal) => self.mark_present(&object.name),
+            Some(Ordering::Greater) | None => self.insert(version, report.instance, accepted_after),
         }
     }
 
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -207,6 +207,20 @@
     assert_eq!(is_draining(&directory, "i-1"), None);
 }
 
+#[test]
+fn instance_that_left_does_not_return_with_its_last_report() {
+    let mut directory = directory_before_restore();
+    directory.tick(at(0), true);
+    directory.apply_change(&IdentityDecoder, &Change::Removed(Arc::from("i-1")), at(0));
+    directory.tick(at(10_000), true);
+    let last = report(restored(3), instance("i-1", Role::Replica, true), 8);
+    let listing = Listing { objects: vec![last], revision: restored(5) };
+
+    directory.apply_listing(&IdentityDecoder, &listing, at(0));
+
+    assert_eq!(is_draining(&directory, "i-1"), None);
+}
+
 #[test]
 fn entry_written_again_unchanged_after_a_restore_is_present() {
     let mut directory = directory_before_restore();
