--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -36,6 +36,8 @@
     callers: u64,
     /// also restore the store from copies
     restores: bool,
+    /// also let another writer store entries that no daemon can read
+    odd_entries: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -52,6 +54,7 @@
             groups: args.groups,
             max_connections: args.connections,
             has_restores: args.restores,
+            has_odd_entries: args.odd_entries,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -20,6 +20,28 @@
 /// Copies of the store that are kept, one for each time that the directory is written.
 const MAX_COPIES: usize = 20;
 
+/// Values of entries that no daemon can read.
+const ODD_VALUES: [&[u8]; 6] = [
+    b"null",
+    b"[[[[1e400]]]]",
+    b"{\"service\": \"svc0\", \"address\": \"127.0.0.1:70000\"}",
+    b"{\"service\": \"\\ud800\"}",
+    b"{\"service\": \"\xff\"}",
+    &NESTED,
+];
+
+/// A value that is nested deeper than a JSON parser follows.
+const NESTED: [u8; 401] = {
+    let mut text = [b'['; 401];
+    text[200] = b'1';
+    let mut index = 201;
+    while index < text.len() {
+        text[index] = b']';
+        index += 1;
+    }
+    text
+};
+
 /// A database that some versions of the table have a route for.
 pub(crate) const EXTRA_DATABASE: &str = "extra";
 
@@ -44,6 +66,12 @@
     client_addresses.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The name of the entry that a step writes; it comes before or after those of the instances.
+fn odd_entry_name(step: &Step) -> String {
+    let prefix = if step.target.is_multiple_of(2) { "a" } else { "z" };
+    format!("{prefix}-odd-{}", step.target)
+}
+
 impl Fleet {
     pub(crate) fn start(cluster: LineCluster, log_dir: PathBuf, daemons: u16) -> io::Result<Self> {
         std::fs::create_dir_all(&log_dir)?;
@@ -160,6 +188,10 @@
                     self.cluster.store.restore(copy);
                 }
             }
+            Fault::OddEntry => {
+                let value = ODD_VALUES[step.target % ODD_VALUES.len()];
+                self.cluster.store.put_raw("servers", &odd_entry_name(step), value);
+            }
             Fault::DrainPrimary => self.cluster.publish_instances(true),
             _ => return self.start_instance_fault(step),
         }
@@ -208,6 +240,7 @@
                 self.cluster.put_table(self.table_version, self.extra_databases);
                 self.cluster.beat();
             }
+            Fault::OddEntry => self.cluster.store.remove("servers", &odd_entry_name(step)),
             Fault::StoreLosesAnswers => self.set_faults(|f| f.loses_responses = false),
             Fault::LoseOrders => self.set_faults(|f| f.loses_promotion_responses = false),
             Fault::StoreSilent => self.cluster.store_proxy.partition(false),
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -50,6 +50,8 @@
     ChangeTable,
     /// The store is away, and comes back from a copy that lacks what was written since.
     RestoreStore,
+    /// Another writer stores an entry among those of the instances that no daemon can read.
+    OddEntry,
 }
 
 const FAULTS: [Fault; 20] = [
@@ -78,6 +80,9 @@
 /// Distinguishes the random numbers of restores from those of the other faults of a seed.
 const RESTORE_STREAM: u64 = 0x5e57_04ed;
 
+/// The same for odd entries.
+const ODD_ENTRY_STREAM: u64 = 0x0dd0_e217;
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -126,14 +131,25 @@
     /// Adds restores of the store, some in quick succession; the other faults of the seed stay the
     /// same.
     #[must_use]
-    pub fn with_restores(mut self, seed: u64, length: Duration) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_STREAM);
+    pub fn with_restores(self, seed: u64, length: Duration) -> Self {
+        self.with_stream(Fault::RestoreStore, seed ^ RESTORE_STREAM, length)
+    }
+
+    /// Adds entries that no daemon can read; the other faults of the seed stay the same.
+    #[must_use]
+    pub fn with_odd_entries(self, seed: u64, length: Duration) -> Self {
+        self.with_stream(Fault::OddEntry, seed ^ ODD_ENTRY_STREAM, length)
+    }
+
+    /// Adds faults of one kind from a stream of random numbers of their own.
+    fn with_stream(mut self, fault: Fault, stream_seed: u64, length: Duration) -> Self {
+        let mut rng = SmallRng::seed_from_u64(stream_seed);
         let mut at = Duration::from_millis(rng.random_range(800..2_500));
         while at + Duration::from_millis(500) < length {
             self.steps.push(Step {
                 at,
                 lasts: Duration::from_millis(rng.random_range(20..1_500)),
-                fault: Fault::RestoreStore,
+                fault,
                 target: rng.random_range(0..1_000),
             });
             at += Duration::from_millis(rng.random_range(700..4_000));
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -37,6 +37,8 @@
     pub max_connections: usize,
     /// Whether the store is also restored from copies.
     pub has_restores: bool,
+    /// Whether another writer stores entries that no daemon can read.
+    pub has_odd_entries: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -64,6 +66,9 @@
     if options.has_restores {
         plan = plan.with_restores(options.seed, options.length);
     }
+    if options.has_odd_entries {
+        plan = plan.with_odd_entries(options.seed, options.length);
+    }
     let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
         .with_max_connections(options.max_connections);
     let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons)?;
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -17,16 +17,25 @@
 /// A connection limit at which one daemon owns the service.
 const FEW_CONNECTIONS: usize = 4;
 
-fn check(seed: u64, length: Duration, max_connections: usize, has_restores: bool) {
+/// Streams of faults beside the plan of a seed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Added {
+    Nothing,
+    Restores,
+    OddEntries,
+}
+
+fn check(seed: u64, length: Duration, max_connections: usize, added: Added) {
     let process = std::process::id();
-    let name = format!("soak-test-{process}-{seed}-{max_connections}-{has_restores}");
+    let name = format!("soak-test-{process}-{seed}-{max_connections}-{added:?}");
     let options = Options {
         seed,
         length,
         daemons: 3,
         groups: 1,
         max_connections,
-        has_restores,
+        has_restores: added == Added::Restores,
+        has_odd_entries: added == Added::OddEntries,
         clients: 6,
         log_dir: std::env::temp_dir().join(name),
     };
@@ -40,23 +49,28 @@
 
 #[test]
 fn a_short_run_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS, false);
+    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS, Added::Nothing);
 }
 
 #[test]
 fn a_short_run_with_an_owner_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(6), FEW_CONNECTIONS, false);
+    check(SHORT_RUN_SEED, Duration::from_secs(6), FEW_CONNECTIONS, Added::Nothing);
 }
 
 #[test]
 fn a_short_run_with_restores_of_the_store_keeps_the_guarantees() {
-    check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, true);
+    check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, Added::Restores);
+}
+
+#[test]
+fn a_short_run_with_entries_that_cannot_be_read_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS, Added::OddEntries);
 }
 
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
-        check(seed, Duration::from_secs(8), MANY_CONNECTIONS, false);
+        check(seed, Duration::from_secs(8), MANY_CONNECTIONS, Added::Nothing);
     }
 }
 
