--- a/crates/persimmond/tests/odd_entries.rs
+++ b/crates/persimmond/tests/odd_entries.rs
@@ -47,6 +47,7 @@
         ("not-utf-8", entry_with("version", "\"\u{1}\"")),
         ("control", entry_with("version", "\"\u{2}\"")),
         ("large", entry_with("extra", &format!("\"{}\"", "x".repeat(1 << 19)))),
+        ("key", entry_with("extra", r#"{"a":1,"$serde_json::private::RawValue":"x"}"#)),
         ("null", b"null".to_vec()),
         ("list", b"[1]".to_vec()),
     ]
