--- a/crates/persimmon-pg/src/request.rs
+++ b/crates/persimmon-pg/src/request.rs
@@ -105,13 +105,13 @@
 /// Returns an error if the body is malformed or the message type has no statement name.
 pub fn rename_statement(frame: &[u8], name: &str) -> Result<Vec<u8>, FrameError> {
     let tag = *frame.first().ok_or(FrameError::Body)?;
-    let body = frame.get(5..).ok_or(FrameError::Body)?;
-    let prefix_len = match tag {
-        b'P' => 0,
-        b'B' => take_cstr(body)?.0.len() + 1,
-        b'D' | b'C' => 1,
-        other => return Err(FrameError::Type(other)),
+    let prefix_len = match FrontendMessage::parse(frame)? {
+        FrontendMessage::Parse { .. } => 0,
+        FrontendMessage::Bind { portal, .. } => portal.len() + 1,
+        FrontendMessage::DescribeStatement(_) | FrontendMessage::CloseStatement(_) => 1,
+        _ => return Err(FrameError::Type(tag)),
     };
+    let body = frame.get(5..).ok_or(FrameError::Body)?;
     let (_, rest) = take_cstr(body.get(prefix_len..).ok_or(FrameError::Body)?)?;
     let length = 4 + prefix_len + name.len() + 1 + rest.len();
     let length_field = u32::try_from(length).map_err(|_| FrameError::Length(length))?;
