--- a/crates/persimmon-interfaces/src/protocol.rs
+++ b/crates/persimmon-interfaces/src/protocol.rs
@@ -22,6 +22,9 @@
     /// A message has an unknown keyword or lacks a field.
     #[error("a message cannot be read")]
     Malformed,
+    /// Other incomplete messages occupy the memory that there is for them.
+    #[error("there is no room for an incomplete message")]
+    NoRoom,
 }
 
 /// A message from a client.
--- a/crates/persimmon-lab/src/line_cluster/daemon.rs
+++ b/crates/persimmon-lab/src/line_cluster/daemon.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let raw = i32::try_from(self.child.id()).ok();
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -24,6 +24,7 @@
 
 use crate::connection::{Answer, Shape};
 use crate::metrics::Metrics;
+use crate::receive_budget::ReceiveShare;
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
 use crate::transaction::OpenTransaction;
@@ -37,15 +38,23 @@
 /// Maximum number of session variables, and of prepared statements, in one session.
 const MAX_SESSION_ENTRIES: usize = 1_000;
 
+/// Messages that a session handles without waiting before others get a turn.
+const MESSAGES_PER_TURN: u32 = 32;
+
 #[derive(Debug)]
-struct ClientCodec(Arc<dyn ClientProtocol>);
+struct ClientCodec {
+    protocol: Arc<dyn ClientProtocol>,
+    share: ReceiveShare,
+}
 
 impl Decoder for ClientCodec {
     type Item = ClientMessage;
     type Error = ProtocolError;
 
     fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError> {
-        self.0.decode(src)
+        let decoded = self.protocol.decode(src)?;
+        let incomplete = if decoded.is_some() { 0 } else { src.len() };
+        if self.share.record(incomplete) { Ok(decoded) } else { Err(ProtocolError::NoRoom) }
     }
 }
 
@@ -92,7 +101,10 @@
 
 /// Serves one client until either side ends the session.
 pub(crate) async fn serve(worker: Rc<Worker>, io: Io) {
-    let codec = ClientCodec(Arc::clone(&worker.client_protocol));
+    let codec = ClientCodec {
+        protocol: Arc::clone(&worker.client_protocol),
+        share: ReceiveShare::new(Rc::clone(&worker.receive_budget)),
+    };
     let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
     let Ok(Ok(Some(ClientMessage::Open { database, user }))) = opened else {
         return;
@@ -123,7 +135,12 @@
         if !self.start(user).await {
             return;
         }
+        let mut handled = 0_u32;
         loop {
+            handled = handled.wrapping_add(1);
+            if handled.is_multiple_of(MESSAGES_PER_TURN) {
+                tokio::task::yield_now().await;
+            }
             match self.wake().await {
                 Wake::Message(ClientMessage::Query(query)) => {
                     if !self.query(&query).await {
@@ -169,7 +186,7 @@
     fn send(&self, replies: &[Reply]) {
         let mut buf = BytesMut::with_capacity(256);
         for reply in replies {
-            self.codec.0.encode(reply, &mut buf);
+            self.codec.protocol.encode(reply, &mut buf);
         }
         // A closed connection is detected by the next receive.
         let _ = self.io.encode_slice(&buf);
@@ -210,7 +227,10 @@
             Err(ntex::util::Either::Left(err)) => {
                 tracing::info!(database = %self.database, error = %err,
                     "client violated the protocol");
-                self.send(&[error(ErrorCode::Malformed, &err.to_string())]);
+                self.send(&[match err {
+                    ProtocolError::NoRoom => refusal(ErrorCode::Busy, RETRY_AFTER),
+                    _ => error(ErrorCode::Malformed, &err.to_string()),
+                }]);
                 Wake::Disconnected
             }
             Ok(None) | Err(ntex::util::Either::Right(_)) => Wake::Disconnected,
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -22,6 +22,7 @@
 use crate::pool::Pool;
 use crate::primaries::PrimaryState;
 use crate::reachability::Reachability;
+use crate::receive_budget::ReceiveBudget;
 use crate::sampling::{LatestSamples, SamplerClients};
 use crate::session;
 use crate::settings::Settings;
@@ -82,6 +83,7 @@
     pub(crate) links: Links,
     /// What this daemon holds for others.
     pub(crate) held: HeldCount,
+    pub(crate) receive_budget: Rc<ReceiveBudget>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
 }
@@ -114,6 +116,7 @@
             samplers: SamplerClients::default(),
             links: Links::new(Arc::clone(&parts.metrics)),
             held: HeldCount::default(),
+            receive_budget: Rc::default(),
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
             client_protocol: parts.client_protocol,
