--- a/crates/persimmon-proxy/src/announcements.rs
+++ b/crates/persimmon-proxy/src/announcements.rs
@@ -1,7 +1,7 @@
 //! When instances announced that they leave, as far as a daemon and its peers know.
 //!
-//! Invariant: the time of an announcement only becomes earlier, and is never later than the moment
-//! at which the store accepted it, by more than the time that the directory may be behind.
+//! Invariant: the time that is kept of an announcement only becomes earlier. It is not later than
+//! that at which the store accepted it, as long as the directory is as current as it is meant to be.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
     pub instance: Arc<str>,
     /// The start time of the process that leaves.
     pub born_ms: u64,
-    /// The latest time at which it may have announced that.
+    /// A time before which the store had not accepted the announcement.
     pub since: Time,
 }
 
