--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -23,14 +23,14 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::active_table::ActiveTable;
-use crate::announcements::Announcement;
 use crate::connection::BackendConnection;
 use crate::control::Control;
 use crate::directory::{Directory, EntryVersion, max_directory_delay};
+use crate::drain_notices::DrainNotice;
 use crate::peer_list::PeerList;
 use crate::peer_service::{
     DaemonState, EntryOrigin, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample,
-    WireAnnouncement, connect,
+    WireDrainNotice, connect,
 };
 use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayReply, RelayedKind, WireRevision};
@@ -85,7 +85,7 @@
     state: Mutex<DaemonState>,
     /// Since when the store has lost the table.
     table_lost_since: Mutex<Option<Time>>,
-    announcements: Mutex<Vec<Announcement>>,
+    drain_notices: Mutex<Vec<DrainNotice>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -96,7 +96,7 @@
     /// Replaces the published state.
     pub(crate) fn put(&self, table: &ActiveTable, directory: &Directory, is_current: bool) {
         let instances = directory.entries();
-        *lock(&self.announcements) = directory.announcements();
+        *lock(&self.drain_notices) = directory.drain_notices();
         let mut state = lock(&self.state);
         state.table = table.table().map(|t| (**t).clone());
         state.table_era = table.era();
@@ -148,12 +148,12 @@
         self.peers.record_alive(&Member::from(from));
         let table = lock(&self.published.state).table.as_ref().map_or(0, |t| t.version);
         let now = Clock.now();
-        let announced = lock(&self.published.announcements);
+        let announced = lock(&self.published.drain_notices);
         Introduction {
             own: WireMember::from(self.peers.own()),
             members: WireMembers::from(known.as_slice()),
             table,
-            announcements: announced.iter().map(|a| WireAnnouncement::new(a, now)).collect(),
+            drain_notices: announced.iter().map(|a| WireDrainNotice::new(a, now)).collect(),
         }
     }
 
@@ -346,9 +346,9 @@
     control.peers.record_alive(&Member::from(introduction.own));
     control.peers.merge(&Vec::from(introduction.members));
     let mut changed = false;
-    for announcement in introduction.announcements {
-        let announcement = announcement.received(requested_at);
-        changed |= control.directory.borrow_mut().merge_announcement(announcement);
+    for notice in introduction.drain_notices {
+        let notice = notice.received(requested_at);
+        changed |= control.directory.borrow_mut().merge_drain_notice(notice);
     }
     if changed {
         control.publish();
--- a/crates/persimmon-proxy/src/directory.rs
+++ b/crates/persimmon-proxy/src/directory.rs
@@ -7,7 +7,7 @@
 //!   the instance has replaced since.
 //! - A missing entry stays usable for a limited time, because entries also expire while the store
 //!   is unavailable; the time counts only while the store answers.
-//! - An instance that leaves receives new work for a limited time after its announcement, whether or
+//! - An instance that leaves receives new work for a limited time after its notice, whether or
 //!   not it is the primary.
 
 use std::cmp::Ordering;
@@ -20,7 +20,7 @@
 };
 use persimmon_types::Time;
 
-use crate::announcements::{Announcement, Announcements};
+use crate::drain_notices::{DrainNotice, DrainNotices};
 use crate::snapshot::DirectoryEntry;
 
 /// Maximum time for which a missing instance is kept: two seconds for its entry to return, plus the
@@ -41,9 +41,9 @@
     instance_drain_limit / DETECTION_DIVISOR
 }
 
-/// Multiple of the instance drain limit after which an announcement of an instance that is not
+/// Multiple of the instance drain limit after which a notice of an instance that is not
 /// listed as draining is forgotten.
-const ANNOUNCEMENT_RETENTION: u32 = 2;
+const DRAIN_NOTICE_RETENTION: u32 = 2;
 
 /// What orders the reports of one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -91,7 +91,7 @@
     instance_drain_limit: Duration,
     /// How long a missing instance is kept.
     missing_retention: Duration,
-    announcements: Announcements,
+    drain_notices: DrainNotices,
     entries: HashMap<Arc<str>, Entry>,
     /// Revisions of the invalid entries that were logged.
     invalid: HashMap<Arc<str>, Revision>,
@@ -108,7 +108,7 @@
         let reserved = max_directory_delay(instance_drain_limit) + IN_FLIGHT_ALLOWANCE;
         Self {
             instance_drain_limit,
-            announcements: Announcements::default(),
+            drain_notices: DrainNotices::default(),
             missing_retention: MISSING_RETENTION.min(instance_drain_limit.saturating_sub(reserved)),
             entries: HashMap::new(),
             invalid: HashMap::new(),
@@ -246,28 +246,28 @@
         self.insert(version, instance, accepted_after)
     }
 
-    /// Merges an announcement that a peer knows; returns whether it was unknown.
-    pub fn merge_announcement(&mut self, announcement: Announcement) -> bool {
-        self.announcements.record(announcement)
+    /// Merges a notice that a peer knows; returns whether it was unknown.
+    pub fn merge_drain_notice(&mut self, notice: DrainNotice) -> bool {
+        self.drain_notices.record(notice)
     }
 
     /// When the instances announced that they leave.
     #[must_use]
-    pub fn announcements(&self) -> Vec<Announcement> {
-        self.announcements.all()
+    pub fn drain_notices(&self) -> Vec<DrainNotice> {
+        self.drain_notices.all()
     }
 
     fn insert(&mut self, version: EntryVersion, instance: Instance, accepted_after: Time) -> bool {
         let was_draining =
             self.entries.get(&instance.id).is_some_and(|before| before.instance.is_draining);
         if instance.is_draining {
-            self.announcements.record(Announcement {
+            self.drain_notices.record(DrainNotice {
                 instance: Arc::clone(&instance.id),
                 born_ms: instance.born_ms,
                 since: accepted_after,
             });
         } else if was_draining {
-            self.announcements.remove(&instance.id);
+            self.drain_notices.remove(&instance.id);
         }
         let entry = Entry { instance: Arc::new(instance), version, missing_for: None };
         let before = self.entries.get(&entry.instance.id);
@@ -318,11 +318,11 @@
             self.entries.remove(id);
             self.removed.insert(Arc::clone(id), *version);
         }
-        let max_age = self.instance_drain_limit * ANNOUNCEMENT_RETENTION;
+        let max_age = self.instance_drain_limit * DRAIN_NOTICE_RETENTION;
         let entries = &self.entries;
-        self.announcements.retain(now, max_age, |announcement| {
-            entries.get(&announcement.instance).is_some_and(|entry| {
-                entry.instance.is_draining && entry.instance.born_ms == announcement.born_ms
+        self.drain_notices.retain(now, max_age, |notice| {
+            entries.get(&notice.instance).is_some_and(|entry| {
+                entry.instance.is_draining && entry.instance.born_ms == notice.born_ms
             })
         });
         !expired.is_empty()
@@ -343,7 +343,7 @@
 
     /// From when on an instance that leaves receives no new work.
     fn drain_deadline(&self, instance: &Instance) -> Option<Time> {
-        let since = self.announcements.since(instance).filter(|_| instance.is_draining)?;
+        let since = self.drain_notices.since(instance).filter(|_| instance.is_draining)?;
         Some(since + self.instance_drain_limit.saturating_sub(IN_FLIGHT_ALLOWANCE))
     }
 
--- a/crates/persimmon-proxy/src/drain_notices.rs
+++ b/crates/persimmon-proxy/src/drain_notices.rs
@@ -1,6 +1,6 @@
 //! When instances announced that they leave, as far as a daemon and its peers know.
 //!
-//! Invariant: the time that is kept of an announcement only becomes earlier. It is not later than
+//! Invariant: the time that is kept of a notice only becomes earlier. It is not later than
 //! that at which the store accepted it, as long as the directory is as current as it is meant to be.
 
 use std::collections::HashMap;
@@ -12,28 +12,28 @@
 
 /// That a process of an instance leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Announcement {
+pub struct DrainNotice {
     /// The instance's identity.
     pub instance: Arc<str>,
     /// The start time of the process that leaves.
     pub born_ms: u64,
-    /// A time before which the store had not accepted the announcement.
+    /// A time before which the store had not accepted the notice.
     pub since: Time,
 }
 
-/// The announcements of all instances.
+/// The drain notices of all instances.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Announcements(HashMap<Arc<str>, Announcement>);
+pub(crate) struct DrainNotices(HashMap<Arc<str>, DrainNotice>);
 
-impl Announcements {
-    /// Records an announcement; returns whether it was unknown, or is earlier than was known.
-    pub(crate) fn record(&mut self, announcement: Announcement) -> bool {
-        let known = self.0.get(&announcement.instance);
+impl DrainNotices {
+    /// Records a notice; returns whether it was unknown, or is earlier than was known.
+    pub(crate) fn record(&mut self, notice: DrainNotice) -> bool {
+        let known = self.0.get(&notice.instance);
         let is_known = known
-            .filter(|known| known.born_ms == announcement.born_ms)
-            .is_some_and(|known| known.since <= announcement.since);
+            .filter(|known| known.born_ms == notice.born_ms)
+            .is_some_and(|known| known.since <= notice.since);
         if !is_known {
-            self.0.insert(Arc::clone(&announcement.instance), announcement);
+            self.0.insert(Arc::clone(&notice.instance), notice);
         }
         !is_known
     }
@@ -49,18 +49,18 @@
         known.map(|known| known.since)
     }
 
-    /// Drops announcements older than `max_age`, except those of instances that `is_listed` accepts.
+    /// Drops drain_notices older than `max_age`, except those of instances that `is_listed` accepts.
     pub(crate) fn retain(
         &mut self,
         now: Time,
         max_age: Duration,
-        is_listed: impl Fn(&Announcement) -> bool,
+        is_listed: impl Fn(&DrainNotice) -> bool,
     ) {
         self.0.retain(|_, known| now.since(known.since) < max_age || is_listed(known));
     }
 
-    /// All announcements.
-    pub(crate) fn all(&self) -> Vec<Announcement> {
+    /// All drain_notices.
+    pub(crate) fn all(&self) -> Vec<DrainNotice> {
         self.0.values().cloned().collect()
     }
 }
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -208,7 +208,7 @@
         let mut candidates = Vec::with_capacity(listed.len());
         for (index, (entry, (load, is_connected))) in listed.iter().zip(&loads).enumerate() {
             let is_primary = primary.as_ref() == Some(&entry.instance.id);
-            if entry.has_drained(now) || !entry.accepts_work() && !is_primary {
+            if entry.is_past_drain_deadline(now) || !entry.accepts_work() && !is_primary {
                 continue;
             }
             candidates.push(Candidate {
@@ -244,7 +244,7 @@
         let opened = self.ready_connection(job, execution, instance, desired).await;
         execution.connection_wait += Clock.now().since(began);
         let mut connection = opened?;
-        if self.has_drained(instance) {
+        if self.is_past_drain_deadline(instance) {
             self.rollback_if_open(connection).await;
             return Err(AttemptFailure::NotSent);
         }
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -12,11 +12,11 @@
 
 mod active_table;
 mod adapter;
-mod announcements;
 mod connection;
 mod control;
 mod directory;
 mod drain;
+mod drain_notices;
 mod execute;
 mod forwarding;
 mod http;
@@ -43,8 +43,8 @@
 
 pub use active_table::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 pub use adapter::{Adapter, PlatformClients};
-pub use announcements::Announcement;
 pub use directory::{Directory, EntryVersion};
+pub use drain_notices::DrainNotice;
 pub use logging::{LineBudget, LogBudget, start_logging};
 pub use metrics::Metrics;
 pub use peer_list::PeerList;
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -12,7 +12,7 @@
 use tarpc::{client, serde_transport};
 use thiserror::Error;
 
-use crate::announcements::Announcement;
+use crate::drain_notices::DrainNotice;
 use crate::metrics::Metrics;
 use crate::relay::{RelayReply, RelayedKind, WireRevision};
 use crate::wire_member::{WireMember, WireMembers};
@@ -60,33 +60,33 @@
     /// The daemon's active version of the table; zero if it has none or does not tell.
     #[serde(default)]
     pub(crate) table: u64,
-    /// Announcements of instances that leave.
+    /// DrainNotices of instances that leave.
     #[serde(default)]
-    pub(crate) announcements: Vec<WireAnnouncement>,
+    pub(crate) drain_notices: Vec<WireDrainNotice>,
 }
 
-/// That an instance leaves, with the age of its announcement.
+/// That an instance leaves, with the age of its drain notice.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct WireAnnouncement {
+pub(crate) struct WireDrainNotice {
     pub(crate) instance: Arc<str>,
     pub(crate) born_ms: u64,
     pub(crate) age_ms: u64,
 }
 
-impl WireAnnouncement {
-    /// The form in which `announcement` is sent at `now`.
-    pub(crate) fn new(announcement: &Announcement, now: Time) -> Self {
-        let age_ms = now.since(announcement.since).as_millis();
+impl WireDrainNotice {
+    /// The form in which `notice` is sent at `now`.
+    pub(crate) fn new(notice: &DrainNotice, now: Time) -> Self {
+        let age_ms = now.since(notice.since).as_millis();
         Self {
-            instance: Arc::clone(&announcement.instance),
-            born_ms: announcement.born_ms,
+            instance: Arc::clone(&notice.instance),
+            born_ms: notice.born_ms,
             age_ms: u64::try_from(age_ms).unwrap_or(u64::MAX),
         }
     }
 
-    /// The announcement, received in answer to a call that was sent at `requested_at`.
-    pub(crate) fn received(self, requested_at: Time) -> Announcement {
-        Announcement {
+    /// The notice, received in answer to a call that was sent at `requested_at`.
+    pub(crate) fn received(self, requested_at: Time) -> DrainNotice {
+        DrainNotice {
             instance: self.instance,
             born_ms: self.born_ms,
             since: requested_at - Duration::from_millis(self.age_ms),
--- a/crates/persimmon-proxy/src/primaries.rs
+++ b/crates/persimmon-proxy/src/primaries.rs
@@ -20,6 +20,7 @@
 use crate::connection::{Begin, ConnectionError, DesiredState};
 use crate::metrics::Metrics;
 use crate::pool::{PooledConnection, Unavailable};
+use crate::snapshot::DirectoryEntry;
 use crate::traffic::Worker;
 
 /// How long one instance may take to answer whether it is primary.
@@ -97,40 +98,41 @@
 
     /// The instance that is believed to be primary, without probing.
     pub(crate) fn believed_primary(&self, service: &Arc<str>) -> Option<Arc<Instance>> {
-        let snapshot = self.snapshot();
-        let now = Clock.now();
-        let known = self.primary_state(service, |state| state.primary.clone());
-        if let Some(listed) = known.and_then(|id| snapshot.instance(service, &id).cloned()) {
-            return Some(listed.instance);
-        }
-        let declared = snapshot.self_declared_primary(service)?;
-        let id = &declared.instance.id;
-        let is_distrusted = self.primary_state(service, |state| state.is_distrusted(id, now));
-        (!is_distrusted).then(|| Arc::clone(&declared.instance))
+        self.primary_where(service, |_| true)
     }
 
-    /// The instance that is believed to be primary, unless it has left the service for new work.
+    /// The instance that is believed to be primary, unless its drain deadline has passed.
     fn available_primary(&self, service: &Arc<str>) -> Option<Arc<Instance>> {
+        let now = Clock.now();
+        self.primary_where(service, |entry| !entry.is_past_drain_deadline(now))
+    }
+
+    /// The primary that statements have shown, or else the one that declares itself, if it is
+    /// eligible.
+    fn primary_where(
+        &self,
+        service: &Arc<str>,
+        is_eligible: impl Fn(&DirectoryEntry) -> bool,
+    ) -> Option<Arc<Instance>> {
         let snapshot = self.snapshot();
         let now = Clock.now();
-        let is_available = |id: &Arc<str>| {
-            snapshot.instance(service, id).is_some_and(|entry| !entry.has_drained(now))
-        };
-        if let Some(believed) = self.believed_primary(service).filter(|i| is_available(&i.id)) {
-            return Some(believed);
+        let known = self.primary_state(service, |state| state.primary.clone());
+        let known = known.and_then(|id| snapshot.instance(service, &id));
+        if let Some(entry) = known.filter(|entry| is_eligible(entry)) {
+            return Some(Arc::clone(&entry.instance));
         }
-        // A successor announces itself before a statement has shown that it is the primary.
-        let declared = snapshot.self_declared_primary(service)?;
+        let declared =
+            snapshot.self_declared_primary(service).filter(|entry| is_eligible(entry))?;
         let id = &declared.instance.id;
         let is_distrusted = self.primary_state(service, |state| state.is_distrusted(id, now));
-        (!is_distrusted && is_available(id)).then(|| Arc::clone(&declared.instance))
+        (!is_distrusted).then(|| Arc::clone(&declared.instance))
     }
 
-    /// Whether an instance has left the service for new work.
-    pub(crate) fn has_drained(&self, instance: &Instance) -> bool {
+    /// Whether an instance's drain deadline has passed.
+    pub(crate) fn is_past_drain_deadline(&self, instance: &Instance) -> bool {
         let snapshot = self.snapshot();
         let entry = snapshot.instance(&instance.service, &instance.id);
-        entry.is_some_and(|entry| entry.has_drained(Clock.now()))
+        entry.is_some_and(|entry| entry.is_past_drain_deadline(Clock.now()))
     }
 
     /// Records that an instance is not primary, or cannot be reached.
@@ -203,7 +205,8 @@
     async fn probe_all(&self, service: &Arc<str>) {
         let snapshot = self.snapshot();
         let now = Clock.now();
-        let listed = snapshot.instances(service).iter().filter(|entry| !entry.has_drained(now));
+        let listed =
+            snapshot.instances(service).iter().filter(|entry| !entry.is_past_drain_deadline(now));
         join_all(listed.map(|entry| self.probe_one(&entry.instance))).await;
     }
 
--- a/crates/persimmon-proxy/src/snapshot.rs
+++ b/crates/persimmon-proxy/src/snapshot.rs
@@ -30,7 +30,7 @@
     /// Whether the instance announced so long ago that it leaves that it receives no new work, even
     /// if no other one can run it.
     #[must_use]
-    pub fn has_drained(&self, now: Time) -> bool {
+    pub fn is_past_drain_deadline(&self, now: Time) -> bool {
         self.drain_deadline.is_some_and(|deadline| now >= deadline)
     }
 }
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -7,7 +7,7 @@
     Change, DecodeError, Instance, InstanceReport, Listing, Object, ObjectDecoder, Revision, Role,
     Table,
 };
-use persimmon_proxy::{Announcement, Directory, EntryVersion, RoutingSnapshot};
+use persimmon_proxy::{Directory, DrainNotice, EntryVersion, RoutingSnapshot};
 use persimmon_types::Time;
 use serde::Deserialize;
 
@@ -293,7 +293,7 @@
 fn drain_limit_counts_from_the_announcement_that_a_peer_knows() {
     let mut newcomer = directory(7_000, vec![entry("i-1", 1, Role::Primary)]);
     let since = at(1_000);
-    newcomer.merge_announcement(Announcement { instance: Arc::from("i-1"), born_ms: 1, since });
+    newcomer.merge_drain_notice(DrainNotice { instance: Arc::from("i-1"), born_ms: 1, since });
 
     newcomer.apply_change(&IdentityDecoder, &draining_at(11), at(6_000));
 
