review: case 1 shown by the replacement of a primary

In place of an instance that fails part of its requests: the primary is cut off from three of five daemons for 7 s and replaced while clients of the others have transactions open on it. The daemon takes a SET for done that the old primary answered READONLY, and later reads of the session run there with its earlier value.

Run: review/1/run.sh five times, and five times with TROUBLE=0.

--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -6,12 +6,17 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
+pub use crate::daemon::could_not_run;
 use crate::daemon::{Daemon, hosts, start_fleet, temporary_folder};
 use crate::instance::{Group, Instance};
 use crate::record::Record;
 use crate::store::Store;
 
+/// How long a promotion takes, as in the small site file.
+const PROMOTION: Duration = Duration::from_secs(1);
+
 /// Services, and instances of each.
 const SIZE: usize = 3;
 
@@ -32,6 +37,16 @@
     /// Starts everything; the record is written to `record.txt` in the folder that `CASE` names.
     #[must_use]
     pub fn start(name: &str, daemons: u8) -> Self {
+        Self::start_with(name, daemons, |_, _| {})
+    }
+
+    /// The same; `prepare` is called before the daemons start.
+    #[must_use]
+    pub fn start_with(
+        name: &str,
+        daemons: u8,
+        prepare: impl FnOnce(&Store, &[(Arc<Group>, Vec<Arc<Instance>>)]),
+    ) -> Self {
         let case = std::env::var_os("CASE").expect("run.sh sets CASE");
         let record = Record::new(&PathBuf::from(case).join("record.txt"));
         record.line(&format!("disruption: {}", has_trouble()));
@@ -48,7 +63,11 @@
             let (Some(group), Some(index)) = (group, index) else {
                 return 404;
             };
-            group.promote(index);
+            let group = Arc::clone(group);
+            std::thread::spawn(move || {
+                std::thread::sleep(PROMOTION);
+                group.promote(index);
+            });
             200
         };
         let store = Store::new(record.clone(), Box::new(promote));
@@ -56,6 +75,7 @@
             store.put("servers", &instance.id, &instance.entry("ready", 1));
         }
         store.put("config", "main", &table(1, 0));
+        prepare(&store, &services);
         let folder = temporary_folder(name);
         let stores: Vec<SocketAddr> = (0..daemons).map(|n| store.listen(usize::from(n))).collect();
         let daemons = start_fleet(&folder, &hosts(daemons), &stores);
@@ -81,12 +101,6 @@
     }
 }
 
-/// Ends the run without a verdict.
-pub fn could_not_run(why: &str) -> ! {
-    eprintln!("the case could not run: {why}");
-    std::process::exit(2);
-}
-
 /// Whether the run has its disruption.
 #[must_use]
 pub fn has_trouble() -> bool {
--- a/review/standin/src/daemon.rs
+++ b/review/standin/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// A daemon, killed when dropped.
@@ -16,6 +17,19 @@
     pub ready: SocketAddr,
 }
 
+/// The processes that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the run without a verdict, and every process that it started.
+pub fn could_not_run(why: &str) -> ! {
+    eprintln!("the case could not run: {why}");
+    for id in STARTED.lock().map(|started| started.clone()).unwrap_or_default() {
+        // The process may have ended already.
+        let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+    }
+    std::process::exit(2);
+}
+
 /// The repository, which holds the build of the deploy file.
 #[must_use]
 pub fn repository() -> PathBuf {
@@ -62,9 +76,7 @@
     let deadline = Instant::now() + Duration::from_secs(15);
     while !daemons.iter().all(Daemon::is_ready) {
         if Instant::now() > deadline {
-            eprintln!("a daemon is not ready");
-            drop(daemons);
-            std::process::exit(2);
+            could_not_run("a daemon is not ready");
         }
         std::thread::sleep(Duration::from_millis(50));
     }
@@ -109,9 +121,9 @@
             .stdout(log)
             .spawn();
         let Ok(child) = child else {
-            eprintln!("the daemon's program is missing");
-            std::process::exit(2);
+            could_not_run("the daemon's program is missing");
         };
+        STARTED.lock().expect("usable").push(child.id());
         let front = SocketAddr::from((host, first + 2));
         Self { child, front, ready: SocketAddr::from((host, first + 3)) }
     }
--- a/review/standin/src/instance.rs
+++ b/review/standin/src/instance.rs
@@ -37,6 +37,8 @@
 pub struct Run {
     /// The client's id of the statement.
     pub id: String,
+    /// Its text.
+    pub text: String,
     /// The instance.
     pub instance: String,
     /// When it arrived, in milliseconds since the start of the record.
@@ -234,14 +236,15 @@
             }
             let result = if self.draws_failure() { Err("FAILED") } else { session.statement(text) };
             let words = text.split(' ').next().unwrap_or("");
-            let is_own_refusal = id == "-" && matches!(result, Err("READONLY" | "LAGGING"));
+            let is_own_refusal = id == "-" && text.contains("BEGIN") && result.is_err();
             let took = record.now_ms() - at_ms;
             if result.is_err() && !is_own_refusal || took >= LONG_WORK_MS {
                 record.line(&format!("instance {}: ended QUERY {id} {text}: {result:?}", self.id));
             }
             if id != "-" && result.is_ok() && words != "COMMIT" {
                 let (id, instance) = (id.to_owned(), self.id.clone());
-                let run = Run { id, instance, at_ms, values: session.values.clone() };
+                let (text, values) = (text.to_owned(), session.values.clone());
+                let run = Run { id, text, instance, at_ms, values };
                 self.group.runs.lock().expect("usable").push(run);
             }
             let mut answer = String::new();
@@ -321,6 +324,11 @@
         if self.failed && rest(0) != "ROLLBACK" {
             return Err("MALFORMED");
         }
+        // A plain transaction whose instance has lost the lead can only be ended.
+        let has_lost = self.tx.as_ref().is_some_and(|tx| !tx.reads_only) && !self.leads();
+        if has_lost && !matches!(rest(0), "COMMIT" | "ROLLBACK") {
+            return Err("READONLY");
+        }
         match rest(0) {
             "BEGIN" => {
                 let reads_only = rest(1) == "READ";
@@ -369,9 +377,6 @@
     }
 
     fn read(&mut self, item: &str) -> Outcome {
-        if self.tx.as_ref().is_some_and(|tx| !tx.reads_only) && !self.leads() {
-            return Err("READONLY");
-        }
         self.instance.work(item);
         let value = self.instance.group.value(self.instance.index, item);
         Ok((Some(value), self.signature()))
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod daemon;
 pub mod instance;
 pub mod json;
+pub mod proxy;
 pub mod record;
 pub mod store;
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -51,6 +51,8 @@
     objects: BTreeMap<(String, String), Stored>,
     events: Vec<(u64, String, String)>,
     rule: Option<Rule>,
+    /// Texts that are replaced in answers to a daemon, by the daemon's number.
+    views: Vec<(usize, String, String)>,
 }
 
 /// The store.
@@ -73,7 +75,13 @@
     /// Creates an empty store; `promote` carries out promotions: service, id, holder, token.
     #[must_use]
     pub fn new(record: Record, promote: Promote) -> Arc<Self> {
-        let state = State { rev: 1, objects: BTreeMap::new(), events: Vec::new(), rule: None };
+        let state = State {
+            rev: 1,
+            objects: BTreeMap::new(),
+            events: Vec::new(),
+            rule: None,
+            views: Vec::new(),
+        };
         Arc::new(Self { state: Mutex::new(state), changed: Condvar::new(), promote, record })
     }
 
@@ -99,6 +107,12 @@
         self.state.lock().expect("usable").rule = Some(Box::new(rule));
     }
 
+    /// Shows a daemon another address of an instance, that of a proxy on its way there.
+    pub fn show(&self, daemon: usize, address: SocketAddr, proxy: SocketAddr) {
+        let (address, proxy) = (format!("\"{address}\""), format!("\"{proxy}\""));
+        self.state.lock().expect("usable").views.push((daemon, address, proxy));
+    }
+
     /// Writes an object, as the operator or an instance does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut state = self.state.lock().expect("usable");
@@ -107,6 +121,19 @@
         self.changed.notify_all();
     }
 
+    /// Removes an object, as the platform does with the entry of an instance that is silent.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.lock().expect("usable");
+        if let Some(mut stored) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            state.rev += 1;
+            stored.rev = state.rev;
+            let event = format!("{{\"object\":{},\"deleted\":true}}", object_json(name, &stored));
+            state.events.push((stored.rev, kind.to_owned(), event));
+        }
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn write(state: &mut State, kind: &str, name: &str, spec: &str) -> Stored {
         state.rev += 1;
         let stored = Stored { rev: state.rev, spec: spec.to_owned() };
@@ -169,6 +196,12 @@
                 lines.read_to_end(&mut rest)?;
                 return Ok(());
             }
+            let mut answer = answer;
+            for (_, address, proxy) in
+                self.state.lock().expect("usable").views.iter().filter(|(d, ..)| *d == daemon)
+            {
+                answer = answer.replace(address, proxy);
+            }
             let status = if fate == Fate::Refuse { 503 } else { status };
             let reason = if status == 200 { "OK" } else { "Other" };
             write!(
