Lab: give processes with neighbouring ids different loopback addresses

Two harness processes whose ids differ only in the lowest bit got the same addresses, because the id's lowest byte was made odd: seen as "Address already in use" when two runs of the soak started together, so that the daemons of one did not start. The byte is used as it is; no fake listens on the daemons' port, so that 127.0.0.1 needs no reserve.

--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -267,9 +267,8 @@
     let host = |number: u16| {
         let [high, low] = number.to_be_bytes();
         let [_, _, _, process] = pid.to_be_bytes();
-        // Other processes of the test harness get other addresses, and 127.0.0.1 is left to the
-        // fakes.
-        Ipv4Addr::new(127, process | 1, high.wrapping_add(pid.to_be_bytes()[2]), low)
+        // Other processes of the test harness get other addresses.
+        Ipv4Addr::new(127, process, high.wrapping_add(pid.to_be_bytes()[2]), low)
     };
     (first..first + count).map(|n| SocketAddr::from((host(n), PEER_PORT))).collect()
 }
