--- a/crates/persimmon-lab/src/fault_proxy.rs
+++ b/crates/persimmon-lab/src/fault_proxy.rs
@@ -1,4 +1,5 @@
-//! A TCP proxy that injects faults: it delays or stalls traffic and refuses or closes connections.
+//! A TCP proxy that injects faults: it delays, stalls or discards traffic and refuses or closes
+//! connections.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -14,6 +15,8 @@
 struct Faults {
     stall_requests: AtomicBool,
     stall_responses: AtomicBool,
+    discard_requests: AtomicBool,
+    discard_responses: AtomicBool,
     refuse: AtomicBool,
     delay_us: AtomicU64,
 }
@@ -75,8 +78,10 @@
         }
         let (from, to) = (client.try_clone()?, server.try_clone()?);
         let faults = Arc::clone(&self.faults);
-        std::thread::spawn(move || copy_stream(from, to, &faults, true));
-        copy_stream(server, client, &self.faults, false);
+        let has_lost_data = Arc::new(AtomicBool::new(false));
+        let has_lost_requests = Arc::clone(&has_lost_data);
+        std::thread::spawn(move || copy_stream(from, to, &faults, &has_lost_requests, true));
+        copy_stream(server, client, &self.faults, &has_lost_data, false);
         Ok(())
     }
 
@@ -97,6 +102,17 @@
         self.stall_responses(on);
     }
 
+    /// While `on`, accepts requests and discards them. A connection that has lost data stays open and
+    /// silent, also after the fault has ended.
+    pub fn discard_requests(&self, on: bool) {
+        self.faults.discard_requests.store(on, Ordering::Relaxed);
+    }
+
+    /// The same for responses: the server handles the requests.
+    pub fn discard_responses(&self, on: bool) {
+        self.faults.discard_responses.store(on, Ordering::Relaxed);
+    }
+
     /// While `on`, closes new connections immediately; switching it on closes all open connections.
     pub fn refuse(&self, on: bool) {
         self.faults.refuse.store(on, Ordering::Relaxed);
@@ -121,9 +137,20 @@
     }
 }
 
-fn copy_stream(mut from: TcpStream, mut to: TcpStream, faults: &Faults, is_to_server: bool) {
+fn copy_stream(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    faults: &Faults,
+    has_lost_data: &AtomicBool,
+    is_to_server: bool,
+) {
     let mut chunk = vec![0_u8; 64 << 10];
-    let is_stalled = if is_to_server { &faults.stall_requests } else { &faults.stall_responses };
+    let (is_stalled, discards) = if is_to_server {
+        (&faults.stall_requests, &faults.discard_requests)
+    } else {
+        (&faults.stall_responses, &faults.discard_responses)
+    };
+    let mut is_silent = false;
     while let Ok(read) = from.read(&mut chunk) {
         if read == 0 {
             break;
@@ -135,10 +162,22 @@
         while is_stalled.load(Ordering::Relaxed) {
             std::thread::sleep(STALL_POLL_INTERVAL);
         }
+        if discards.load(Ordering::Relaxed) {
+            is_silent = true;
+            has_lost_data.store(true, Ordering::Relaxed);
+        }
+        if is_silent {
+            continue;
+        }
         if to.write_all(&chunk[..read]).is_err() {
             break;
         }
     }
+    // The client must not notice that the server has given up a connection which lost data.
+    let is_lost = has_lost_data.load(Ordering::Relaxed) || discards.load(Ordering::Relaxed);
+    if is_lost && !is_to_server {
+        return;
+    }
     let _ = to.shutdown(Shutdown::Both);
     let _ = from.shutdown(Shutdown::Both);
 }
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -193,6 +193,12 @@
     /// Each service `N` gets the databases `pN` (latest), `bN` (staleness of up to one second) and
     /// `rN` (read your writes); `extra_databases` are routed to the primary of the first service.
     pub fn put_table(&self, version: u64, extra_databases: &[&str]) {
+        let extra_routes: Vec<(&str, usize)> = extra_databases.iter().map(|d| (*d, 0)).collect();
+        self.put_routes(version, &extra_routes);
+    }
+
+    /// The same, where each of `extra_routes` names a database and the number of its service.
+    pub fn put_routes(&self, version: u64, extra_routes: &[(&str, usize)]) {
         let mut routes = Vec::new();
         let mut services = Vec::new();
         for (number, (group, _)) in self.groups.iter().enumerate() {
@@ -205,8 +211,8 @@
                 "name": group.name, "max_conns": self.max_connections, "sync_replicas": 0,
             }));
         }
-        for database in extra_databases {
-            routes.push(route_json(database, "primary", "svc0"));
+        for (database, service) in extra_routes {
+            routes.push(route_json(database, "primary", &format!("svc{service}")));
         }
         let table = json!({
             "version": version, "routes": routes, "services": services,
--- a/crates/persimmon-lab/src/process.rs
+++ b/crates/persimmon-lab/src/process.rs
@@ -72,13 +72,20 @@
     }
 }
 
-/// Returns the path of the `persimmond` binary in the build directory of the running program.
+/// The environment variable that names another build of the daemon to run the same tests on.
+const DAEMON_VARIABLE: &str = "PERSIMMON_LAB_DAEMON";
+
+/// Returns the path of the `persimmond` binary in the build directory of the running program, or the
+/// path in `PERSIMMON_LAB_DAEMON`.
 ///
 /// # Errors
 ///
 /// Returns an error if it is not built.
 pub fn daemon_program() -> io::Result<PathBuf> {
-    find_built_program("persimmond")
+    match std::env::var_os(DAEMON_VARIABLE) {
+        Some(path) => Ok(PathBuf::from(path)),
+        None => find_built_program("persimmond"),
+    }
 }
 
 /// Returns the path of the lab's own program, which runs the fake instances and platform.
--- a/crates/persimmon-ownership/src/lib.rs
+++ b/crates/persimmon-ownership/src/lib.rs
@@ -24,4 +24,6 @@
 pub use link_health::LinkHealth;
 pub use member::{Member, MemberList};
 pub use owners::{OwnerTable, ServiceOwners, needs_owners};
-pub use watch_source::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
+pub use watch_source::{
+    SourceChooser, WATCHER_KEY, WatchSource, WatcherFailure, needs_watchers, watchers,
+};
--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -13,6 +13,9 @@
 
 use persimmon_types::Time;
 
+/// The key by which the daemons that watch the store are ranked.
+pub const WATCHER_KEY: &str = "watchers of the store";
+
 /// Largest fleet in which every daemon watches the store.
 const MAX_DIRECT_FLEET: usize = 30;
 
--- a/crates/persimmon-proxy/src/control/check.rs
+++ b/crates/persimmon-proxy/src/control/check.rs
@@ -10,13 +10,14 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{Changes, Listing, ObjectKind, Revision, StoreError};
+use persimmon_ownership::WATCHER_KEY;
 use persimmon_types::{Clock, Time};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use crate::control::Control;
 use crate::control::backoff::Backoff;
-use crate::control::follow::{SETTLE_CHECK_INTERVAL, WATCHER_KEY};
+use crate::control::follow::SETTLE_CHECK_INTERVAL;
 use crate::directory::max_directory_delay;
 use crate::metrics::Metrics;
 use crate::relay::{RelayReply, RelayedKind};
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -10,7 +10,9 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind, Revision, StoreError};
-use persimmon_ownership::{SourceChooser, WatchSource, WatcherFailure, needs_watchers, watchers};
+use persimmon_ownership::{
+    SourceChooser, WATCHER_KEY, WatchSource, WatcherFailure, needs_watchers, watchers,
+};
 use persimmon_types::{Clock, Time};
 use rand::Rng;
 
@@ -32,9 +34,6 @@
 /// and the watchers may answer again meanwhile.
 const SUBSTITUTE_WATCH_WAIT: Duration = Duration::from_millis(300);
 
-/// The key by which the daemons that watch the store are chosen.
-pub(super) const WATCHER_KEY: &str = "watchers of the store";
-
 /// How many times its own limit a watcher's proof may be old before another watcher is asked.
 const MAX_SOURCE_AGE_FACTOR: u32 = 2;
 
--- a/crates/persimmon-soak/src/lib.rs
+++ b/crates/persimmon-soak/src/lib.rs
@@ -7,6 +7,7 @@
 //!   failed run keeps its logs besides its seed.
 //! - Signals go only to processes that the soak started, by process id.
 
+pub mod changes;
 mod clients;
 mod fleet;
 mod plan;
