Ask the store before further watchers once two in a row have not answered

What clients saw: while the watchers of a failure domain were frozen, daemons in touch went on refusing a database that had been added, and serving one that had been removed, for 3.0 to 7.3 s after the change (limit 3 s).

Cause: a follower asked one watcher after the other, each for up to 1.1 s, and the store only once none was left; after 3 s the first one counted as available again. With six watchers in one failure domain it never came to the store, with two in each of three it took up to 4.4 s.

Ruled out: the watchers' own view (frozen), the pace of the table (activation comes before the pause), the load (6 daemons and 40 in three domains beside it were in time). A shorter timeout for watchers was not chosen: a large table on a slow link needs it.

Change: after two requests in a row without an answer the store is asked, again after 1.0 to 1.5 s, and further watchers are tried between these calls. The interval was 1 to 2 s; with a request of 1.1 s that is too long for a limit of 3 s. While watchers answer that the store is down, nothing changes.

One expectation of daemon_without_watchers_... is replaced by a stricter one: when the watchers are tried again, the store is overdue and comes first.

--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -4,11 +4,15 @@
 //! watchers, watch the store; the others receive the changes from them. A daemon whose watchers
 //! fall silent turns to those of other failure domains, and last to the store itself.
 //!
+//! Invariant: a daemon whose watchers do not answer asks the store again before a change of the table
+//! may be overdue, however many watchers there are.
+//!
 //! A store that accepts a host's watch and never answers it looks like one without changes. The
 //! watchers therefore also compare with each other what they have received.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use persimmon_types::Time;
@@ -46,12 +50,19 @@
 /// How long a watcher is passed over that cannot reach the store: another one may.
 const STORE_DOWN_PAUSE: Duration = Duration::from_secs(1);
 
-/// Shortest interval between calls to the store while every watcher says that the store does not
-/// answer. A store that turns single hosts away may still serve this one.
-const MIN_OWN_CALL_INTERVAL: Duration = Duration::from_secs(3);
+/// Interval between calls to the store while every watcher says that the store does not answer; a
+/// store that turns single hosts away may still serve this one. Daemons draw from the range, so that
+/// they do not call together.
+const OWN_CALL_INTERVAL: RangeInclusive<Duration> = Duration::from_secs(3)..=Duration::from_secs(6);
+
+/// The same while no watcher answers: this daemon may be the only one with a path to the store. With
+/// a request to a watcher it stays below the shortest limit for a change of the table.
+const ISOLATED_CALL_INTERVAL: RangeInclusive<Duration> =
+    Duration::from_millis(1_000)..=Duration::from_millis(1_500);
 
-/// The same while no watcher answers: this daemon may be the only one with a path to the store.
-const MIN_ISOLATED_CALL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Requests in a row without an answer after which the store is asked before further watchers: each
+/// takes about a second.
+const MAX_UNANSWERED: u32 = 2;
 
 /// Pause before the watchers are tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -85,6 +96,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SourceChooser {
     failed: HashMap<SocketAddr, (Time, WatcherFailure)>,
+    /// Requests to watchers since the last one that was answered.
+    unanswered: u32,
     own_call_at: Time,
 }
 
@@ -111,8 +124,10 @@
             return WatchSource::Store { is_watcher: true };
         }
         self.failed.retain(|_, (until, _)| now < *until);
+        let asks_store = self.unanswered >= MAX_UNANSWERED && now >= self.own_call_at;
         let is_available = |peer: &&SocketAddr| !self.failed.contains_key(peer);
-        if let Some(watcher) = watchers.iter().find(is_available) {
+        let available = watchers.iter().find(is_available).filter(|_| !asks_store);
+        if let Some(watcher) = available {
             return WatchSource::Watcher(*watcher);
         }
         // A daemon that reaches no watcher of its failure domain may be parted from all of them, but
@@ -122,26 +137,32 @@
         };
         let other = others.iter().find(is_available).copied();
         let asks_others_first = !watchers.iter().any(is_unreachable) || now < self.own_call_at;
-        if let Some(other) = other.filter(|_| asks_others_first) {
+        if let Some(other) = other.filter(|_| asks_others_first && !asks_store) {
             return WatchSource::Watcher(other);
         }
         if now < self.own_call_at {
             return WatchSource::Pause(RETRY_DELAY);
         }
         let is_store_down = self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
-        let interval =
-            if is_store_down { MIN_OWN_CALL_INTERVAL } else { MIN_ISOLATED_CALL_INTERVAL };
-        // Jitter, so that the daemons do not call the store together.
-        self.own_call_at = now + interval.mul_f64(1.0 + draw);
+        let interval = if is_store_down { OWN_CALL_INTERVAL } else { ISOLATED_CALL_INTERVAL };
+        let jitter = (*interval.end() - *interval.start()).mul_f64(draw);
+        self.own_call_at = now + *interval.start() + jitter;
         WatchSource::Store { is_watcher: false }
     }
 
+    /// Records that a watcher provided changes, or that there are none.
+    pub fn record_success(&mut self) {
+        self.unanswered = 0;
+    }
+
     /// Records that a watcher provided no changes.
     pub fn record_failure(&mut self, now: Time, watcher: SocketAddr, failure: WatcherFailure) {
         let pause = match failure {
             WatcherFailure::StoreDown => STORE_DOWN_PAUSE,
             WatcherFailure::Unreachable | WatcherFailure::NotWatching => UNREACHABLE_PAUSE,
         };
+        self.unanswered =
+            if failure == WatcherFailure::Unreachable { self.unanswered + 1 } else { 0 };
         self.failed.insert(watcher, (now + pause, failure));
     }
 }
--- a/crates/persimmon-ownership/tests/watch_source.rs
+++ b/crates/persimmon-ownership/tests/watch_source.rs
@@ -63,7 +63,8 @@
     let store = WatchSource::Store { is_watcher: false };
     assert_eq!(sources, [watcher(1), watcher(2), store, watcher(21), watcher(31)]);
     assert!(matches!(choose(&mut chooser, at(10), 9), WatchSource::Pause(_)));
-    // The watchers are tried again.
+    // The store is due again, and then the watchers are tried again.
+    assert_eq!(choose(&mut chooser, at(3_100), 9), store);
     assert_eq!(choose(&mut chooser, at(3_100), 9), watcher(1));
 }
 
@@ -110,3 +111,45 @@
     assert!(own_calls <= FOLLOWERS * 3, "{own_calls}");
     assert!(own_calls >= FOLLOWERS, "{own_calls}: a store that turns hosts away may serve others");
 }
+
+/// How long a request to a watcher that does not answer takes.
+const UNANSWERED: Duration = Duration::from_millis(1_100);
+
+/// The longest time between two calls to the store, or to one after the watchers have fallen silent,
+/// that leaves a second of the shortest limit for a change of the table.
+const LONGEST_GAP: Duration = Duration::from_millis(2_700);
+
+/// Lets a daemon whose watchers never answer choose its sources for `length`; returns the longest
+/// time for which it did not ask the store.
+fn longest_gap(candidates: &[SocketAddr], others: &[SocketAddr], length: Duration) -> Duration {
+    let mut chooser = SourceChooser::new();
+    let (mut now, mut asked_at) = (at(0), at(0));
+    let mut longest = Duration::ZERO;
+    while now.since(at(0)) < length {
+        match chooser.choose(now, address(9), candidates, others, 1.0) {
+            WatchSource::Watcher(peer) => {
+                now = now + UNANSWERED;
+                chooser.record_failure(now, peer, WatcherFailure::Unreachable);
+            }
+            WatchSource::Store { .. } => {
+                longest = longest.max(now.since(asked_at));
+                asked_at = now;
+            }
+            WatchSource::Pause(pause) => now = now + pause,
+        }
+    }
+    longest.max(now.since(asked_at))
+}
+
+/// Guards against followers that ask one silent watcher after the other for longer than a change may
+/// take.
+#[test]
+fn followers_of_silent_watchers_ask_the_store_in_time() {
+    for count in 1..=4 {
+        let others: Vec<SocketAddr> = (1..count).map(|n| address(20 + n)).collect();
+
+        let gap = longest_gap(&candidates(), &others, Duration::from_secs(30));
+
+        assert!(gap <= LONGEST_GAP, "{count} failure domains: {gap:?}");
+    }
+}
--- a/crates/persimmon-proxy/src/control/follow.rs
+++ b/crates/persimmon-proxy/src/control/follow.rs
@@ -359,8 +359,9 @@
         if failure != Some(WatcherFailure::NotWatching) {
             self.control.record_source(failure);
         }
-        if let Some(failure) = failure {
-            self.sources.record_failure(Clock.now(), peer, failure);
+        match failure {
+            Some(failure) => self.sources.record_failure(Clock.now(), peer, failure),
+            None => self.sources.record_success(),
         }
     }
 
--- /dev/null
+++ b/crates/persimmon-soak/tests/changes.rs
@@ -0,0 +1,58 @@
+//! Guards against changes of the table that reach daemons late, with fleets of real processes as
+//! their clients see them.
+
+use std::time::Duration;
+
+use persimmon_soak::changes::{
+    ChangeOptions, ChangeTimes, Disruption, Episode, Targets, measure_changes,
+};
+
+/// Largest fleet without watchers, and a few daemons more.
+const FLEET_WITH_WATCHERS: u16 = 36;
+
+/// Longer than a daemon pauses between two watches of the table, so that each daemon sends one.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Runs one episode; returns the times of the changes in it.
+fn measure(name: &str, daemons: u16, domains: usize, episode: Episode) -> Vec<ChangeTimes> {
+    let log_dir = std::env::temp_dir().join(format!("changes-{}-{name}", std::process::id()));
+    let options = ChangeOptions { daemons, domains, routes: 0, log_dir: log_dir.clone() };
+    let mut measured = Vec::new();
+
+    measure_changes(&options, &[episode], |_, times| measured.extend_from_slice(times))
+        .expect("the fleet starts");
+
+    let late: Vec<_> = measured.iter().flat_map(ChangeTimes::late).collect();
+    assert!(late.is_empty(), "{late:?}; logs in {}", log_dir.display());
+    std::fs::remove_dir_all(&log_dir).expect("the logs of a passed run are removed");
+    measured
+}
+
+#[test]
+fn a_change_reaches_a_small_fleet_after_calls_that_the_store_never_answers() {
+    let episode = Episode::new(Disruption::StoreSilent, Targets::All, SILENCE).with_storm(true);
+
+    let measured = measure("small", 6, 3, episode);
+
+    assert_eq!(measured[0].applied.len(), 6);
+}
+
+#[test]
+fn a_change_reaches_a_fleet_with_watchers_after_calls_that_the_store_never_answers() {
+    let episode = Episode::new(Disruption::StoreSilent, Targets::All, SILENCE).with_storm(true);
+
+    let measured = measure("watchers", FLEET_WITH_WATCHERS, 3, episode);
+
+    assert_eq!(measured[0].applied.len(), usize::from(FLEET_WITH_WATCHERS));
+}
+
+#[test]
+fn a_change_reaches_the_followers_of_watchers_that_are_frozen() {
+    let lasts = Duration::from_secs(7);
+    let episode = Episode::new(Disruption::Freeze, Targets::Watchers, lasts)
+        .with_change_at(Duration::from_millis(2_500));
+
+    let measured = measure("frozen", FLEET_WITH_WATCHERS, 1, episode);
+
+    assert!(measured[0].is_during);
+}
