--- a/crates/persimmon-proxy/src/control/check.rs
+++ b/crates/persimmon-proxy/src/control/check.rs
@@ -25,6 +25,10 @@
 /// How long a watch waits that only checks what the store has now.
 pub(super) const CHECK_WAIT: Duration = Duration::from_millis(1);
 
+/// How long the store may take to answer a check: peers can prove the same, and the watch that waits
+/// beside it has its own time limit.
+const STORE_CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// How long a daemon takes to renew its proof by that of another one.
 const HOP_TIME: Duration = Duration::from_millis(150);
 
@@ -152,7 +156,11 @@
 ) -> Result<Option<Found>, StoreError> {
     let requested_at = Clock.now();
     Metrics::increment(&control.metrics.store_checks);
-    let result = control.platform.store.watch(kind, revision, CHECK_WAIT).await;
+    let call = control.platform.store.watch(kind, revision, CHECK_WAIT);
+    let result = tokio::time::timeout(STORE_CHECK_TIMEOUT, call).await;
+    let result = result.unwrap_or_else(|_| {
+        Err(StoreError::Unavailable("no answer to a check in time".to_owned()))
+    });
     control.record_store_call("check", result.as_ref().err());
     let changes = result?;
     control.record_era(changes.revision.era, "check");
--- a/crates/persimmond/tests/unanswered_calls.rs
+++ b/crates/persimmond/tests/unanswered_calls.rs
@@ -16,6 +16,12 @@
 /// The time within which a change of the table must be active.
 const TABLE_LIMIT: Duration = Duration::from_secs(3);
 
+/// The same while the store is disturbed, with the time by which that extends the limit.
+const UNSTABLE_TABLE_LIMIT: Duration = Duration::from_secs(15);
+
+/// Delay of each message to and from a slow store.
+const ONE_WAY_DELAY: Duration = Duration::from_millis(400);
+
 /// Longer than a daemon pauses between two watches.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
@@ -29,11 +35,16 @@
     setup.cluster.store.set_faults(StoreFaults { never_answers, ..StoreFaults::default() });
 }
 
-/// Lets every daemon watch the store anew while the store accepts calls and never answers them.
-fn watch_in_silence(setup: &Setup, change: impl FnOnce()) {
+/// Waits until every daemon watches the table and the instances.
+fn wait_for_watches(setup: &Setup) {
     let kinds = 2;
     let watches = || setup.cluster.store.waiting_watches();
     assert!(holds_within(CONDITION_TIMEOUT, || watches() >= kinds * setup.daemons.len()));
+}
+
+/// Lets every daemon watch the store anew while the store accepts calls and never answers them.
+fn watch_in_silence(setup: &Setup, change: impl FnOnce()) {
+    wait_for_watches(setup);
     change();
     // The answers to the watches that wait are on their way.
     std::thread::sleep(Duration::from_millis(200));
@@ -42,6 +53,15 @@
     set_silent(setup, false);
 }
 
+/// Whether every daemon has activated a version of the table.
+fn is_active(setup: &Setup, version: u64) -> bool {
+    (0..setup.daemons.len()).all(|daemon| {
+        setup.has_logged(daemon, |line| {
+            line["message"] == "table activated" && line["version"] == version
+        })
+    })
+}
+
 /// Sends statements to every daemon until `end`; returns how many succeeded.
 fn send_until(setup: &Setup, end: Instant, database: &str, statement: &str) -> usize {
     std::thread::scope(|scope| {
@@ -77,19 +97,28 @@
 #[test]
 fn table_is_active_in_time_after_a_watch_that_is_never_answered() {
     let setup = setup("silent-table", 3);
-    let is_active = |version: u64| {
-        (0..3).all(|daemon| {
-            setup.has_logged(daemon, |line| {
-                line["message"] == "table activated" && line["version"] == version
-            })
-        })
-    };
     watch_in_silence(&setup, || setup.cluster.put_table(5, &[]));
-    assert!(holds_within(CONDITION_TIMEOUT, || is_active(5)));
+    assert!(holds_within(CONDITION_TIMEOUT, || is_active(&setup, 5)));
 
     setup.cluster.put_table(8, &["fresh"]);
 
-    assert!(holds_within(TABLE_LIMIT, || is_active(8)));
+    assert!(holds_within(TABLE_LIMIT, || is_active(&setup, 8)));
+}
+
+/// Guards against a daemon that a slow store keeps from every later change, because a call of its own
+/// gives up sooner than the store answers.
+#[test]
+fn changes_are_received_from_a_store_that_answers_late() {
+    let setup = setup("slow-store", 3);
+    wait_for_watches(&setup);
+    setup.cluster.store_proxy.delay(ONE_WAY_DELAY);
+    // The watches that wait break, so that each daemon sends new ones.
+    setup.cluster.store_proxy.close_connections();
+    std::thread::sleep(SILENCE);
+
+    setup.cluster.put_table(5, &["fresh"]);
+
+    assert!(holds_within(UNSTABLE_TABLE_LIMIT, || is_active(&setup, 5)));
 }
 
 #[test]
