Soak: let daemons accept the calls of others and never answer them

Calls between daemons could not be disturbed: a daemon binds the address that the others use. The settings may now name another address to bind (listen.peer_ip), for hosts behind an address translation and for a proxy on the way. PeersSilent discards what a daemon is sent and sends on both of its ports.

--- a/crates/persimmon-lab/src/fault_proxy.rs
+++ b/crates/persimmon-lab/src/fault_proxy.rs
@@ -2,7 +2,7 @@
 //! connections.
 
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -37,7 +37,16 @@
     ///
     /// Returns an error if no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), target)
+    }
+
+    /// Starts a proxy that listens at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let proxy = Self {
             address: listener.local_addr()?,
             faults: Arc::default(),
@@ -113,6 +122,12 @@
         self.faults.discard_responses.store(on, Ordering::Relaxed);
     }
 
+    /// Both, so that calls are accepted and never answered.
+    pub fn discard(&self, on: bool) {
+        self.discard_requests(on);
+        self.discard_responses(on);
+    }
+
     /// While `on`, closes new connections immediately; switching it on closes all open connections.
     pub fn refuse(&self, on: bool) {
         self.faults.refuse.store(on, Ordering::Relaxed);
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -261,6 +261,12 @@
     })
 }
 
+/// The address for statements that daemons forward to the daemon with this peer address.
+#[must_use]
+pub fn forwarding_address(peers: SocketAddr) -> SocketAddr {
+    SocketAddr::new(peers.ip(), PEER_PORT + 1)
+}
+
 /// Returns the peer addresses of `count` daemons.
 ///
 /// Each process and each call gets its own loopback addresses, so that the fixed port is free
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the daemon's threads and listeners, and shuts them down on a signal.
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -40,12 +40,16 @@
     let _logs = start_logging(DEFAULT_FILTER);
     let client_listener = TcpListener::bind(settings.clients)?;
     let readiness_listener = TcpListener::bind(settings.readiness)?;
-    let peer_listener = TcpListener::bind(settings.peers)?;
+    let bind_for_peers = |mut address: SocketAddr| {
+        address.set_ip(settings.peer_bind.unwrap_or(address.ip()));
+        TcpListener::bind(address)
+    };
+    let peer_listener = bind_for_peers(settings.peers)?;
+    let forwarding_listener = settings.forwarding.map(bind_for_peers).transpose()?;
     // With port 0, the operating system chose the port.
     settings.clients = client_listener.local_addr()?;
     settings.readiness = readiness_listener.local_addr()?;
-    settings.peers = peer_listener.local_addr()?;
-    let forwarding_listener = settings.forwarding.map(TcpListener::bind).transpose()?;
+    settings.peers.set_port(peer_listener.local_addr()?.port());
     let metrics_listener = TcpListener::bind(settings.metrics)
         .inspect_err(|err| {
             tracing::warn!(address = %settings.metrics, error = %err,
--- a/crates/persimmon-proxy/src/settings.rs
+++ b/crates/persimmon-proxy/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a daemon.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +20,8 @@
     /// Listen address for statements that other daemons forward, on the same port on every host;
     /// `None` if this daemon neither forwards statements nor runs those of others.
     pub forwarding: Option<SocketAddr>,
+    /// The host's address to bind for other daemons, where it is not the one that they connect to.
+    pub peer_bind: Option<IpAddr>,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity: u32,
     /// Listen address of the metrics endpoint.
--- a/crates/persimmon-soak/examples/changes.rs
+++ b/crates/persimmon-soak/examples/changes.rs
@@ -33,6 +33,8 @@
     only: Option<Disruption>,
     /// disturb only these daemons: One, Third, All or Watchers
     targets: Option<Targets>,
+    /// let calls between daemons pass proxies, for PeersSilent (builds that know listen.peer_ip)
+    peer_proxies: bool,
     /// keep the logs
     keep: bool,
 }
@@ -54,6 +56,7 @@
         daemons: args.daemons,
         domains: args.domains,
         routes: args.routes,
+        has_peer_proxies: args.peer_proxies,
         log_dir: log_dir.clone(),
     };
     let mut late = 0;
--- a/crates/persimmon-soak/src/changes/fleet.rs
+++ b/crates/persimmon-soak/src/changes/fleet.rs
@@ -9,7 +9,8 @@
 
 use persimmon_lab::fault_proxy::FaultProxy;
 use persimmon_lab::line_cluster::{
-    Daemon, InstanceProfile, LineClient, LineCluster, StoreCopy, loopback_peer_addresses,
+    Daemon, InstanceProfile, LineClient, LineCluster, StoreCopy, forwarding_address,
+    loopback_peer_addresses,
 };
 use persimmon_ownership::{Member, OwnerTable, WATCHER_KEY, needs_watchers, watchers};
 use rustix::process::Signal;
@@ -60,7 +61,12 @@
     log_dir: PathBuf,
     addresses: Vec<SocketAddr>,
     domains: usize,
+    /// The addresses that the daemons bind for each other, behind their proxies.
+    bound: Vec<SocketAddr>,
     store_proxies: Vec<FaultProxy>,
+    /// For each daemon, the proxies through which the others reach it; none if calls between daemons
+    /// are not disturbed.
+    peer_proxies: Vec<Vec<FaultProxy>>,
     daemons: Vec<Option<Daemon>>,
     start_count: usize,
     /// Databases that every version of the table has a route for.
@@ -77,7 +83,9 @@
             log_dir: options.log_dir.clone(),
             addresses: loopback_peer_addresses(options.daemons),
             domains: options.domains.max(1),
+            bound: loopback_peer_addresses(options.daemons),
             store_proxies: Vec::new(),
+            peer_proxies: Vec::new(),
             daemons: Vec::new(),
             start_count: 0,
             steady_databases: (0..options.routes).map(|n| format!("steady{n}")).collect(),
@@ -85,8 +93,16 @@
             copy: None,
         };
         fleet.write_table();
-        for _ in 0..options.daemons {
+        for index in 0..usize::from(options.daemons) {
             fleet.store_proxies.push(FaultProxy::start(fleet.cluster.store.address)?);
+            let mut proxies = Vec::new();
+            if options.has_peer_proxies {
+                let (used, bound) = (fleet.addresses[index], fleet.bound[index]);
+                proxies.push(FaultProxy::start_at(used, bound)?);
+                let (used, bound) = (forwarding_address(used), forwarding_address(bound));
+                proxies.push(FaultProxy::start_at(used, bound)?);
+            }
+            fleet.peer_proxies.push(proxies);
             fleet.daemons.push(None);
         }
         let all: Vec<usize> = (0..fleet.daemons.len()).collect();
@@ -133,6 +149,12 @@
             let settings = settings
                 .replace(&common, &self.store_proxies[*index].address.to_string())
                 .replace("zone = \"z1\"", &domain);
+            let settings = if self.peer_proxies[*index].is_empty() {
+                settings
+            } else {
+                let bound = self.bound[*index].ip();
+                settings.replace("[listen]", &format!("[listen]\npeer_ip = \"{bound}\""))
+            };
             let start = move || Daemon::start(&folder, &name, &settings);
             starting.push((*index, std::thread::spawn(start)));
         }
@@ -200,9 +222,9 @@
         for index in targets {
             let proxy = &self.store_proxies[*index];
             match episode.disruption {
-                Disruption::StoreSilent => {
-                    proxy.discard_requests(true);
-                    proxy.discard_responses(true);
+                Disruption::StoreSilent => proxy.discard(true),
+                Disruption::PeersSilent => {
+                    self.peer_proxies[*index].iter().for_each(|p| p.discard(true));
                 }
                 Disruption::StoreAnswersLost => proxy.discard_responses(true),
                 Disruption::StoreRefuses => proxy.refuse(true),
@@ -238,10 +260,10 @@
         }
         for index in targets {
             let proxy = &self.store_proxies[*index];
-            proxy.discard_requests(false);
-            proxy.discard_responses(false);
+            proxy.discard(false);
             proxy.refuse(false);
             proxy.delay(Duration::ZERO);
+            self.peer_proxies[*index].iter().for_each(|p| p.discard(false));
             match episode.disruption {
                 Disruption::Freeze => self.signal(*index, Signal::CONT),
                 // One that still ends its transactions is killed, as the platform does.
--- a/crates/persimmon-soak/src/changes/mod.rs
+++ b/crates/persimmon-soak/src/changes/mod.rs
@@ -41,6 +41,8 @@
     pub domains: usize,
     /// Routes that each version of the table has beside those that change.
     pub routes: usize,
+    /// Whether calls between daemons pass proxies, so that they can be disturbed too.
+    pub has_peer_proxies: bool,
     /// The directory of the daemons' logs.
     pub log_dir: PathBuf,
 }
--- a/crates/persimmon-soak/src/changes/plan.rs
+++ b/crates/persimmon-soak/src/changes/plan.rs
@@ -18,6 +18,8 @@
     StoreRefuses,
     /// The store answers the targets late.
     StoreSlow,
+    /// The targets accept the calls of other daemons and never answer them.
+    PeersSilent,
     /// The targets are stopped with SIGSTOP.
     Freeze,
     /// The targets are killed, and restarted together.
@@ -28,7 +30,7 @@
     Restore,
 }
 
-const DISRUPTIONS: [Disruption; 8] = [
+const DISRUPTIONS: [Disruption; 9] = [
     Disruption::StoreSilent,
     Disruption::StoreAnswersLost,
     Disruption::StoreRefuses,
@@ -37,6 +39,7 @@
     Disruption::Kill,
     Disruption::Stop,
     Disruption::Restore,
+    Disruption::PeersSilent,
 ];
 
 /// A name that stands for nothing in a plan.
@@ -133,7 +136,10 @@
     /// the store serves them as always.
     #[must_use]
     pub fn has_steady_store(&self) -> bool {
-        matches!(self.disruption, Disruption::Freeze | Disruption::Kill | Disruption::Stop)
+        matches!(
+            self.disruption,
+            Disruption::Freeze | Disruption::Kill | Disruption::Stop | Disruption::PeersSilent
+        )
     }
 
     /// The numbers of the disturbed daemons of `count`, of which `watchers` watch the store.
--- a/crates/persimmon-soak/tests/changes.rs
+++ b/crates/persimmon-soak/tests/changes.rs
@@ -16,7 +16,13 @@
 /// Runs one episode; returns the times of the changes in it.
 fn measure(name: &str, daemons: u16, domains: usize, episode: Episode) -> Vec<ChangeTimes> {
     let log_dir = std::env::temp_dir().join(format!("changes-{}-{name}", std::process::id()));
-    let options = ChangeOptions { daemons, domains, routes: 0, log_dir: log_dir.clone() };
+    let options = ChangeOptions {
+        daemons,
+        domains,
+        routes: 0,
+        has_peer_proxies: episode.disruption == Disruption::PeersSilent,
+        log_dir: log_dir.clone(),
+    };
     let mut measured = Vec::new();
 
     measure_changes(&options, &[episode], |_, times| measured.extend_from_slice(times))
