Judge by the present state of the watchers whether the store may be asked again

Its log: two watchers of its failure domain do not answer within 1.1 s each, and instead of the store it asks two others and the first one again.

Cause: the time of the next own call was fixed at the last one. Some watcher had said then that the store does not answer it, so that up to 6 s were chosen; that they all fell silent since did not count.

Change: the interval follows from what is known now; only the time of the last call is kept.

Failed before (6.5 s), passes now: follower_asks_the_store_soon_once_watchers_without_the_store_fall_silent.

--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -98,7 +98,8 @@
     failed: HashMap<SocketAddr, (Time, WatcherFailure)>,
     /// Requests to watchers since the last one that was answered.
     unanswered: u32,
-    own_call_at: Time,
+    /// When this daemon last asked the store itself, with a random number from 0 to 1.
+    own_call: Option<(Time, f64)>,
 }
 
 impl SourceChooser {
@@ -124,7 +125,8 @@
             return WatchSource::Store { is_watcher: true };
         }
         self.failed.retain(|_, (until, _)| now < *until);
-        let asks_store = self.unanswered >= MAX_UNANSWERED && now >= self.own_call_at;
+        let is_due = self.is_own_call_due(now);
+        let asks_store = self.unanswered >= MAX_UNANSWERED && is_due;
         let is_available = |peer: &&SocketAddr| !self.failed.contains_key(peer);
         let available = watchers.iter().find(is_available).filter(|_| !asks_store);
         if let Some(watcher) = available {
@@ -136,18 +138,27 @@
             self.failed.get(peer).is_some_and(|(_, f)| *f == WatcherFailure::Unreachable)
         };
         let other = others.iter().find(is_available).copied();
-        let asks_others_first = !watchers.iter().any(is_unreachable) || now < self.own_call_at;
+        let asks_others_first = !watchers.iter().any(is_unreachable) || !is_due;
         if let Some(other) = other.filter(|_| asks_others_first && !asks_store) {
             return WatchSource::Watcher(other);
         }
-        if now < self.own_call_at {
+        if !is_due {
             return WatchSource::Pause(RETRY_DELAY);
         }
-        let is_store_down = self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
+        self.own_call = Some((now, draw));
+        WatchSource::Store { is_watcher: false }
+    }
+
+    /// Whether this daemon may ask the store itself, by what is known of the watchers now.
+    fn is_own_call_due(&self, now: Time) -> bool {
+        let Some((called_at, draw)) = self.own_call else {
+            return true;
+        };
+        let is_store_down = self.unanswered < MAX_UNANSWERED
+            && self.failed.values().any(|(_, f)| *f == WatcherFailure::StoreDown);
         let interval = if is_store_down { OWN_CALL_INTERVAL } else { ISOLATED_CALL_INTERVAL };
         let jitter = (*interval.end() - *interval.start()).mul_f64(draw);
-        self.own_call_at = now + *interval.start() + jitter;
-        WatchSource::Store { is_watcher: false }
+        now.since(called_at) >= *interval.start() + jitter
     }
 
     /// Records that a watcher provided changes, or that there are none.
--- a/crates/persimmon-ownership/tests/watch_source.rs
+++ b/crates/persimmon-ownership/tests/watch_source.rs
@@ -153,3 +153,35 @@
         assert!(gap <= LONGEST_GAP, "{count} failure domains: {gap:?}");
     }
 }
+
+/// Guards against an interval that was chosen while the watchers answered.
+#[test]
+fn follower_asks_the_store_soon_once_watchers_without_the_store_fall_silent() {
+    let mut chooser = SourceChooser::new();
+    let mut now = at(0);
+    let mut sources = Vec::new();
+    // All watchers answer that the store is down until the daemon has asked the store itself.
+    while !sources.contains(&WatchSource::Store { is_watcher: false }) {
+        let source = chooser.choose(now, address(9), &candidates(), &others(), 1.0);
+        if let WatchSource::Watcher(peer) = source {
+            chooser.record_failure(now, peer, WatcherFailure::StoreDown);
+        }
+        sources.push(source);
+    }
+    let asked_at = now;
+
+    loop {
+        match chooser.choose(now, address(9), &candidates(), &others(), 1.0) {
+            WatchSource::Watcher(peer) => {
+                now = now + UNANSWERED;
+                chooser.record_failure(now, peer, WatcherFailure::Unreachable);
+            }
+            WatchSource::Store { .. } => break,
+            WatchSource::Pause(pause) => now = now + pause,
+        }
+    }
+
+    // The watchers are passed over for a second after they have answered, and then asked in turn.
+    let gap = now.since(asked_at);
+    assert!(gap <= Duration::from_secs(1) + LONGEST_GAP, "{gap:?}");
+}
