--- a/crates/persimmond/tests/forwarding.rs
+++ b/crates/persimmond/tests/forwarding.rs
@@ -9,63 +9,10 @@
 use persimmon_lab::line_cluster::{InstanceProfile, LineCluster};
 use rustix::process::Signal;
 
-use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_on};
-
-/// A connection limit below the number of daemons of these tests.
-const FEW_CONNECTIONS: usize = 6;
-
-/// Number of daemons.
-const DAEMONS: usize = 4;
-
-/// Starts daemons of which one owns the service; returns its index too.
-fn setup_with_owner(name: &str) -> (Setup, usize) {
-    setup_with_profile(name, InstanceProfile::default())
-}
-
-fn setup_with_profile(name: &str, profile: InstanceProfile) -> (Setup, usize) {
-    let cluster = LineCluster::start(1, 3, profile)
-        .expect("the fake platform starts")
-        .with_max_connections(FEW_CONNECTIONS);
-    let setup = setup_on(name, DAEMONS, cluster);
-    let know_each_other = || {
-        (0..DAEMONS).all(|daemon| {
-            setup.has_logged(daemon, |line| {
-                line["message"] == "members were exchanged" && line["daemons"] == DAEMONS
-            })
-        })
-    };
-    assert!(holds_within(CONDITION_TIMEOUT, know_each_other), "a daemon does not know the others");
-    let owner = find_owner(&setup);
-    (setup, owner)
-}
-
-/// The daemon to which the others connect after a statement on each of them.
-fn find_owner(setup: &Setup) -> usize {
-    for daemon in 0..DAEMONS {
-        let read = setup.client(daemon, "r0", "find").query("READ item").expect("a response");
-        assert!(read.result.is_ok(), "{read:?}");
-    }
-    let mut owner = None;
-    let is_found = || {
-        owner = (0..DAEMONS).find(|candidate| {
-            let address = setup.daemons[*candidate].addresses.peers.to_string();
-            (0..DAEMONS).any(|daemon| {
-                setup.has_logged(daemon, |line| {
-                    line["message"] == "connected to an owner of services"
-                        && line["peer"] == *address
-                })
-            })
-        });
-        owner.is_some()
-    };
-    assert!(holds_within(CONDITION_TIMEOUT, is_found), "no statement was forwarded");
-    owner.unwrap_or_default()
-}
-
-/// A daemon that does not own the service.
-fn other_than(owner: usize) -> usize {
-    (owner + 1) % DAEMONS
-}
+use crate::fleet::owners::{
+    DAEMONS, FEW_CONNECTIONS, other_than, setup_with_owner, setup_with_profile,
+};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within};
 
 #[test]
 fn session_state_and_transactions_survive_the_hop() {
--- a/crates/persimmond/tests/refused_state.rs
+++ b/crates/persimmond/tests/refused_state.rs
@@ -7,6 +7,7 @@
 
 use persimmon_lab::line_cluster::LineClient;
 
+use crate::fleet::owners::{other_than, setup_with_owner};
 use crate::fleet::{Setup, setup};
 
 /// The verdicts of an instance on a statement.
@@ -73,18 +74,49 @@
     setup.assert_no_violations();
 }
 
-#[test]
-fn statements_find_a_prepared_statement_that_was_refused_before() {
-    let setup = setup("refused-prepare", 1);
-    let mut first = setup.client(0, "r0", "first");
+/// Prepares statements in sessions of one daemon, while the instances refuse that.
+fn run_refused_prepares(setup: &Setup, daemon: usize) {
+    let mut first = setup.client(daemon, "r0", "first");
     run(&mut first, &["READ item"]);
-
     for (number, code) in CODES.into_iter().enumerate() {
-        let mut client = setup.client(0, "r0", "c");
+        let mut client = setup.client(daemon, "r0", "c");
         run(&mut client, &[&format!("PREPARE s1 READ shape{number}")]);
-        run_refused(&setup, "PREPARE", code, &mut client);
+        run_refused(setup, "PREPARE", code, &mut client);
         run(&mut client, &["EXECUTE s1 item"]);
     }
+}
+
+#[test]
+fn statements_find_a_prepared_statement_that_was_refused_before() {
+    let setup = setup("refused-prepare", 1);
+
+    run_refused_prepares(&setup, 0);
+
+    setup.assert_no_violations();
+}
+
+/// Guards against the same at the daemon that runs the statements of others.
+#[test]
+fn statements_that_an_owner_runs_never_have_state_that_was_refused() {
+    let (setup, owner) = setup_with_owner("refused-hop");
+
+    run_refused_prepares(&setup, other_than(owner));
+    for code in CODES {
+        let mut first = setup.client(other_than(owner), "r0", "first");
+        run(&mut first, &["SET who first", "READ item"]);
+        for (word, texts) in [("SET", &["SET who second"][..]), ("RESET", &[])] {
+            let mut client = setup.client(other_than(owner), "r0", "second");
+            run(&mut client, texts);
+            run_refused(&setup, word, code, &mut client);
+            run(&mut client, &["READ item"]);
+            run(&mut first, &["READ item"]);
+        }
+        let mut client = setup.client(other_than(owner), "r0", "third");
+        run(&mut client, &["BEGIN", "READ item", "SET who third"]);
+        run_refused(&setup, "SET", code, &mut client);
+        run(&mut client, &["ROLLBACK", "READ item"]);
+        run(&mut first, &["READ item"]);
+    }
 
     setup.assert_no_violations();
 }
