--- a/crates/persimmon-soak/tests/changes.rs
+++ b/crates/persimmon-soak/tests/changes.rs
@@ -34,6 +34,7 @@
     measured
 }
 
+/// Guards against daemons that keep an old table after a silence of the store.
 #[test]
 fn a_change_reaches_a_small_fleet_after_calls_that_the_store_never_answers() {
     let episode = Episode::new(Disruption::StoreSilent, Targets::All, SILENCE).with_storm(true);
@@ -43,6 +44,7 @@
     assert_eq!(measured[0].applied.len(), 6);
 }
 
+/// Guards against the same where few daemons watch the store for the others.
 #[test]
 fn a_change_reaches_a_fleet_with_watchers_after_calls_that_the_store_never_answers() {
     let episode = Episode::new(Disruption::StoreSilent, Targets::All, SILENCE).with_storm(true);
@@ -52,6 +54,7 @@
     assert_eq!(measured[0].applied.len(), usize::from(FLEET_WITH_WATCHERS));
 }
 
+/// Guards against followers that ask one frozen watcher after the other before the store.
 #[test]
 fn a_change_reaches_the_followers_of_watchers_that_are_frozen() {
     let lasts = Duration::from_secs(7);
--- a/crates/persimmond/tests/late_statements.rs
+++ b/crates/persimmond/tests/late_statements.rs
@@ -66,16 +66,19 @@
     client.query(statement).is_ok()
 }
 
+/// Guards against a read of an open transaction that is cut off without an answer.
 #[test]
 fn statement_late_in_a_shutdown_is_answered() {
     assert!(is_answered("late-read", 6, Duration::from_millis(4_700), "READ item"));
 }
 
+/// Guards against a COMMIT that is cut off without an answer.
 #[test]
 fn commit_late_in_a_shutdown_is_answered() {
     assert!(is_answered("late-commit", 6, Duration::from_millis(4_700), "COMMIT"));
 }
 
+/// Guards against the same where the process may take two seconds only.
 #[test]
 fn statement_late_in_a_short_shutdown_is_answered() {
     assert!(is_answered("late-short", 2, Duration::from_millis(900), "READ item"));
@@ -96,6 +99,7 @@
     }
 }
 
+/// Guards against a COMMIT that is cut off while both daemons stop.
 #[test]
 fn commit_that_an_owner_runs_late_in_a_shutdown_is_answered() {
     let (setup, owner) = setup_with_profile("late-hop-commit", slow_profile());
--- a/crates/persimmond/tests/refused_state.rs
+++ b/crates/persimmond/tests/refused_state.rs
@@ -38,6 +38,7 @@
     set_refusal(setup, word, None);
 }
 
+/// Guards against reads with the values of another session after an instance refused SET.
 #[test]
 fn statements_never_run_with_values_whose_change_was_refused() {
     let setup = setup("refused-set", 1);
@@ -56,6 +57,7 @@
     setup.assert_no_violations();
 }
 
+/// Guards against the same where the transaction goes on to a rollback.
 #[test]
 fn statements_never_run_with_values_whose_change_was_refused_in_a_transaction() {
     let setup = setup("refused-set-in-transaction", 1);
@@ -86,6 +88,7 @@
     }
 }
 
+/// Guards against a prepared name that is unknown after an instance refused PREPARE.
 #[test]
 fn statements_find_a_prepared_statement_that_was_refused_before() {
     let setup = setup("refused-prepare", 1);
@@ -121,6 +124,7 @@
     setup.assert_no_violations();
 }
 
+/// Guards against the replacement of a primary that fails statements and still leads.
 #[test]
 fn primary_that_fails_to_begin_transactions_is_not_replaced() {
     let setup = setup("refused-begin", 3);
@@ -143,6 +147,7 @@
     run(&mut client, &["WRITE item y"]);
 }
 
+/// Guards against reads with the values of another session after an instance refused RESET.
 #[test]
 fn statements_never_run_with_values_whose_reset_was_refused() {
     let setup = setup("refused-reset", 1);
--- a/crates/persimmond/tests/unanswered_calls.rs
+++ b/crates/persimmond/tests/unanswered_calls.rs
@@ -81,6 +81,7 @@
     })
 }
 
+/// Guards against new work at a leaving instance because the watch of the directory hangs.
 #[test]
 fn leaving_replica_receives_no_work_after_a_watch_that_is_never_answered() {
     let setup = setup_on("silent-directory", 3, cluster(InstanceProfile::default()));
@@ -94,6 +95,7 @@
     setup.assert_no_violations();
 }
 
+/// Guards against statements at a service that a database has left because the watch of the table hangs.
 #[test]
 fn table_is_active_in_time_after_a_watch_that_is_never_answered() {
     let setup = setup("silent-table", 3);
@@ -121,6 +123,7 @@
     assert!(holds_within(UNSTABLE_TABLE_LIMIT, || is_active(&setup, 5)));
 }
 
+/// Guards against new work at a leaving instance because its notice counts from when it was heard.
 #[test]
 fn notice_heard_late_does_not_extend_the_limit_of_a_primary_that_leaves() {
     let profile =
