--- a/crates/persimmon-soak/src/changes/mod.rs
+++ b/crates/persimmon-soak/src/changes/mod.rs
@@ -115,13 +115,16 @@
     let others: Vec<usize> = (0..fleet.len()).filter(|i| !targets.contains(i)).collect();
     let began = Instant::now();
     fleet.start_disruption(episode, &targets);
+    let is_timed = episode.has_steady_store() && !others.is_empty();
     if episode.has_storm {
-        while began.elapsed() < episode.lasts {
+        let end = if is_timed { episode.change_at } else { episode.lasts };
+        while began.elapsed() < end {
             fleet.change_table();
             std::thread::sleep(STORM_INTERVAL);
         }
-    } else if episode.has_steady_store() && !others.is_empty() {
-        std::thread::sleep(episode.change_at);
+    }
+    if is_timed {
+        std::thread::sleep(episode.change_at.saturating_sub(began.elapsed()));
         let written = fleet.change_table();
         times.push(ChangeTimes { is_during: true, applied: time_change(fleet, &others, written) });
     }
