Limit the memory of values and prepared statements, of a session and of all

Cause: the number of values of a session was limited to a thousand, their size was not; connections kept the values of sessions that had ended.

Change: all sessions together may hold an eighth of the host's memory (memory_mb in the settings, 16 MiB without it), one session a quarter of that. A connection with more than 64 KiB of state is closed instead of kept idle. Metrics: session_state_bytes, session_state_refused. The budget of incomplete messages is the same code now.

--- a/crates/persimmon-proxy/src/connection.rs
+++ b/crates/persimmon-proxy/src/connection.rs
@@ -24,6 +24,9 @@
 
 use crate::socket;
 
+/// A connection with larger values and prepared statements is not kept for other sessions, in bytes.
+const MAX_KEPT_STATE: usize = 64 << 10;
+
 /// A connection with more prepared statements than this is reset before its next use.
 const PREPARED_LIMIT: usize = 200;
 
@@ -175,6 +178,13 @@
         is_at_rest && self.is_state_known && !self.io.is_closed()
     }
 
+    /// Whether the connection's state is too large to be kept while no session uses it.
+    pub(crate) fn has_large_state(&self) -> bool {
+        let values = self.variables.iter().map(|(name, value)| name.len() + value.len());
+        let shapes = self.prepared.keys().map(|(_, shape)| shape.len());
+        values.chain(shapes).sum::<usize>() > MAX_KEPT_STATE
+    }
+
     /// Records that the instance does not have the state that it confirmed.
     pub(crate) fn distrust_state(&mut self) {
         self.is_state_known = false;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -52,6 +52,8 @@
             pub directory_age_ms: AtomicU64,
             /// Milliseconds since the table was last known to be the store's.
             pub table_age_ms: AtomicU64,
+            /// Bytes of the values and prepared statements of all sessions.
+            pub session_state_bytes: AtomicU64,
             $($(#[$doc])* pub $name: AtomicU64,)*
         }
 
@@ -70,6 +72,8 @@
     sessions_opened,
     /// Sessions ended.
     sessions_closed,
+    /// Values and prepared statements of sessions refused for their size or number.
+    session_state_refused,
     /// Reads, writes and commits answered with success.
     statements_served,
     /// Reads, writes and commits refused without having any effect.
@@ -128,9 +132,12 @@
             // Writing to a string cannot fail.
             let _ = writeln!(out, "# TYPE persimmon_{name} counter\npersimmon_{name} {value}");
         }
-        for (name, gauge) in
-            [("directory_age_ms", &self.directory_age_ms), ("table_age_ms", &self.table_age_ms)]
-        {
+        let gauges = [
+            ("directory_age_ms", &self.directory_age_ms),
+            ("table_age_ms", &self.table_age_ms),
+            ("session_state_bytes", &self.session_state_bytes),
+        ];
+        for (name, gauge) in gauges {
             let value = gauge.load(Ordering::Relaxed);
             // Writing to a string cannot fail.
             let _ = writeln!(out, "# TYPE persimmon_{name} gauge\npersimmon_{name} {value}");
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -181,7 +181,7 @@
         };
         entry.counts.checked_out = entry.counts.checked_out.saturating_sub(1);
         entry.counts.pinned = entry.counts.pinned.saturating_sub(usize::from(was_pinned));
-        if backend.is_idle() {
+        if backend.is_idle() && !backend.has_large_state() {
             entry.idle.push(backend);
         }
         entry.released.notify_one();
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -5,11 +5,12 @@
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
 
+pub(crate) mod state;
 mod statements;
 
-use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -22,9 +23,10 @@
 };
 use persimmon_types::{Clock, Position, Time};
 
-use crate::connection::{Answer, Shape};
+use crate::connection::Answer;
+use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
-use crate::receive_budget::ReceiveShare;
+use crate::session::state::{SessionState, StateLimit};
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
 use crate::transaction::OpenTransaction;
@@ -35,16 +37,13 @@
 /// How long a new session waits for the first table; clients give up after two seconds.
 const TABLE_WAIT_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// Maximum number of session variables, and of prepared statements, in one session.
-const MAX_SESSION_ENTRIES: usize = 1_000;
-
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
 #[derive(Debug)]
 struct ClientCodec {
     protocol: Arc<dyn ClientProtocol>,
-    share: ReceiveShare,
+    share: MemoryShare,
 }
 
 impl Decoder for ClientCodec {
@@ -84,8 +83,7 @@
     io: Io,
     codec: ClientCodec,
     database: Arc<str>,
-    variables: BTreeMap<Arc<str>, Arc<str>>,
-    prepared: HashMap<Arc<str>, Shape>,
+    state: SessionState,
     last_commit_position: Option<Position>,
     /// When the last commit with an unknown position was acknowledged.
     unpositioned_commit_at: Time,
@@ -103,7 +101,7 @@
 pub(crate) async fn serve(worker: Rc<Worker>, io: Io) {
     let codec = ClientCodec {
         protocol: Arc::clone(&worker.client_protocol),
-        share: ReceiveShare::new(Rc::clone(&worker.receive_budget)),
+        share: MemoryShare::new(Rc::clone(&worker.receive_budget)),
     };
     let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
     let Ok(Ok(Some(ClientMessage::Open { database, user }))) = opened else {
@@ -116,8 +114,10 @@
         io,
         codec,
         database,
-        variables: BTreeMap::new(),
-        prepared: HashMap::new(),
+        state: SessionState::new(
+            MemoryShare::new(Rc::clone(&worker.state_budget)),
+            worker.settings.session_state_limit,
+        ),
         last_commit_position: None,
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
@@ -280,24 +280,18 @@
             Statement::Begin { is_read_only } => self.begin(query, *is_read_only),
             Statement::Rollback => self.rollback(),
             Statement::Set { name, value } => {
-                if self.variables.len() < MAX_SESSION_ENTRIES || self.variables.contains_key(name) {
-                    self.variables.insert(Arc::clone(name), Arc::clone(value));
-                    return self.complete();
-                }
-                self.fail(ErrorCode::Malformed, "too many values")
+                let set = self.state.set(name, value);
+                self.answer_state_change(query, set)
             }
             Statement::Prepare { name, access, shape } => {
-                if self.prepared.len() < MAX_SESSION_ENTRIES || self.prepared.contains_key(name) {
-                    self.prepared.insert(Arc::clone(name), (*access, Arc::clone(shape)));
-                    return self.complete();
-                }
-                self.fail(ErrorCode::Malformed, "too many prepared statements")
+                let prepared = self.state.prepare(name, *access, shape);
+                self.answer_state_change(query, prepared)
             }
             Statement::Deallocate { name } => {
-                self.prepared.remove(name);
+                self.state.deallocate(name);
                 self.complete()
             }
-            Statement::Execute { name, .. } => match self.prepared.get(name).cloned() {
+            Statement::Execute { name, .. } => match self.state.prepared(name).cloned() {
                 Some(shape) => self.run_statement(query, Some(&shape)).await,
                 None => self.fail(ErrorCode::NoSuchPrepared, name),
             },
@@ -310,6 +304,32 @@
         }
     }
 
+    /// Answers a change of the session's state; returns whether the session continues.
+    fn answer_state_change(&mut self, query: &Query, change: Result<(), StateLimit>) -> bool {
+        let (session_bytes, total_bytes) = self.state.bytes();
+        let metrics = &self.worker.metrics;
+        metrics.session_state_bytes.store(total_bytes as u64, Ordering::Relaxed);
+        let Err(limit) = change else {
+            return self.complete();
+        };
+        Metrics::increment(&metrics.session_state_refused);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %query.id, database = %self.database, ?limit, session_bytes,
+                total_bytes, "a value or prepared statement of a session is refused");
+        }
+        match limit {
+            StateLimit::Entries => {
+                self.fail(ErrorCode::Malformed, "the session has too many values or statements")
+            }
+            StateLimit::Session => {
+                self.fail(ErrorCode::Malformed, "the values of the session are too large")
+            }
+            StateLimit::Total => {
+                self.fail(ErrorCode::Busy, "no room for values of sessions; retry later")
+            }
+        }
+    }
+
     fn complete(&self) -> bool {
         self.send(&[Reply::Complete(None), ready(self.status(), None)]);
         true
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -136,7 +136,7 @@
             query,
             route: Arc::clone(route),
             shape,
-            variables: &self.variables,
+            variables: self.state.variables(),
             last_commit_position: self.last_commit_position,
             unpositioned_commit_at: self.unpositioned_commit_at,
             fresh_as_of,
--- a/crates/persimmon-proxy/src/settings.rs
+++ b/crates/persimmon-proxy/src/settings.rs
@@ -4,6 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Part of a host's memory for the values and prepared statements of sessions.
+const SESSION_STATE_PART: usize = 8;
+
+/// Memory for them on a host whose memory is not known, in bytes.
+const DEFAULT_SESSION_STATE: usize = 16 << 20;
+
+/// Part of that memory that one session may use.
+const SESSION_PART: usize = 4;
+
+/// Returns the memory for the values and prepared statements of one session, and of all sessions, on
+/// a host with `memory` bytes.
+#[must_use]
+pub fn session_state_limits(memory: Option<usize>) -> (usize, usize) {
+    let total = memory.map_or(DEFAULT_SESSION_STATE, |memory| memory / SESSION_STATE_PART);
+    (total / SESSION_PART, total)
+}
+
 /// The settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -24,6 +41,10 @@
     pub peer_bind: Option<IpAddr>,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity: u32,
+    /// Maximum size of the values and prepared statements of one session, in bytes.
+    pub session_state_limit: usize,
+    /// The same of all sessions together.
+    pub session_state_total: usize,
     /// Listen address of the metrics endpoint.
     pub metrics: SocketAddr,
     /// Addresses of the peers to contact first; they may be outdated.
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -18,12 +18,13 @@
 use crate::drain::ShutdownSchedule;
 use crate::forwarding::{HeldCount, Links};
 use crate::logging::LogBudget;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 use crate::pool::Pool;
 use crate::primaries::PrimaryState;
 use crate::reachability::Reachability;
-use crate::receive_budget::ReceiveBudget;
+
 use crate::relay::{Relay, RelayedKind};
 use crate::sampling::{LatestSamples, SamplerClients};
 use crate::session;
@@ -43,6 +44,10 @@
 /// Pause after the listener failed, such as when out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Memory for incomplete messages of clients, in bytes: some of the largest messages, and a fraction
+/// of the smallest host's memory.
+const MAX_INCOMPLETE_BYTES: usize = 16 << 20;
+
 /// Tells the control thread that a statement failed at a primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Suspicion {
@@ -87,7 +92,10 @@
     pub(crate) links: Links,
     /// What this daemon holds for others.
     pub(crate) held: HeldCount,
-    pub(crate) receive_budget: Rc<ReceiveBudget>,
+    /// Memory for incomplete messages of clients.
+    pub(crate) receive_budget: Rc<MemoryBudget>,
+    /// Memory for the values and prepared statements of sessions.
+    pub(crate) state_budget: Rc<MemoryBudget>,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -122,7 +130,8 @@
             samplers: SamplerClients::default(),
             links: Links::new(Arc::clone(&parts.metrics)),
             held: HeldCount::default(),
-            receive_budget: Rc::default(),
+            receive_budget: Rc::new(MemoryBudget::new(MAX_INCOMPLETE_BYTES)),
+            state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
--- a/crates/persimmon-proxy/tests/receive_budget.rs
+++ b/crates/persimmon-proxy/tests/memory_budget.rs
@@ -1,14 +1,17 @@
-//! The memory that incomplete messages of clients may occupy together.
+//! The memory that the data of sessions may occupy together.
 
 use std::rc::Rc;
 
-use persimmon_proxy::{ReceiveBudget, ReceiveShare};
+use persimmon_proxy::{MemoryBudget, MemoryShare};
 
 const LARGE: usize = 1 << 20;
 
-fn shares(count: usize) -> Vec<ReceiveShare> {
-    let budget = Rc::new(ReceiveBudget::default());
-    (0..count).map(|_| ReceiveShare::new(Rc::clone(&budget))).collect()
+/// The limit of incomplete messages.
+const LIMIT: usize = 16 << 20;
+
+fn shares(count: usize) -> Vec<MemoryShare> {
+    let budget = Rc::new(MemoryBudget::new(LIMIT));
+    (0..count).map(|_| MemoryShare::new(Rc::clone(&budget))).collect()
 }
 
 #[test]
--- a/crates/persimmond/tests/floods.rs
+++ b/crates/persimmond/tests/floods.rs
@@ -159,6 +159,32 @@
     setup.assert_no_violations();
 }
 
+/// Guards against clients that take a host's memory with values of their sessions.
+#[test]
+fn values_of_sessions_do_not_exceed_the_memory_of_a_host() {
+    let setup = setup("flood-values", 1);
+    let value = "x".repeat(1_000_000);
+    let mut sessions = Vec::new();
+    let mut refused = 0;
+
+    for number in 0..10 {
+        let mut client = setup.client(0, "r0", &format!("c{number}"));
+        for value_number in 0..20 {
+            let text = format!("SET v{value_number} {value}");
+            let set = client.query(&text).expect("a refused value leaves the session open");
+            refused += usize::from(set.result.is_err());
+        }
+        assert!(client.query("READ item").expect("a response").result.is_ok());
+        sessions.push(client);
+    }
+
+    assert!(refused > 100, "{refused}");
+    assert_serves(&setup);
+    assert!(peak_memory_kb(&setup) < MEMORY_LIMIT_KB, "{} KB", peak_memory_kb(&setup));
+    drop(sessions);
+    setup.assert_no_violations();
+}
+
 #[test]
 fn half_lines_of_many_sessions_do_not_exceed_the_memory_of_a_host() {
     let setup = setup("flood-lines", 1);
