--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -38,6 +38,8 @@
     restores: bool,
     /// also let another writer store entries that no daemon can read
     odd_entries: bool,
+    /// also accept calls and never answer them, and refuse session state
+    unanswered: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -55,6 +57,7 @@
             max_connections: args.connections,
             has_restores: args.restores,
             has_odd_entries: args.odd_entries,
+            has_unanswered_calls: args.unanswered,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -30,6 +30,12 @@
     &NESTED,
 ];
 
+/// The statements of the proxy's own that set session state on a connection.
+const STATE_WORDS: [&str; 3] = ["SET", "PREPARE", "RESET"];
+
+/// The verdicts with which instances refuse them.
+const REFUSALS: [&str; 4] = ["READONLY", "BUSY", "FAILED", "TIMEOUT"];
+
 /// A value that is nested deeper than a JSON parser follows.
 const NESTED: [u8; 401] = {
     let mut text = [b'['; 401];
@@ -176,6 +182,8 @@
             Fault::StoreLosesAnswers => self.set_faults(|f| f.loses_responses = true),
             Fault::LoseOrders => self.set_faults(|f| f.loses_promotion_responses = true),
             Fault::StoreSilent => self.cluster.store_proxy.partition(true),
+            Fault::StoreUnanswered => self.cluster.store_proxy.discard(true),
+            Fault::RefuseState => self.refuse_state(step),
             Fault::ForgetHistory => self.cluster.store.clear_history(),
             Fault::ChangeTable => {
                 self.table_version += 1 + u64::try_from(step.target % 5).unwrap_or(0);
@@ -198,6 +206,28 @@
         None
     }
 
+    /// Lets all instances refuse the statements of one kind that change session state.
+    fn refuse_state(&self, step: &Step) {
+        let word = STATE_WORDS[step.target / 3 % STATE_WORDS.len()];
+        let code = REFUSALS[step.target / 9 % REFUSALS.len()];
+        for (_, instances) in &self.cluster.groups {
+            for instance in instances {
+                instance.server.set_refusal(word, Some(code));
+            }
+        }
+    }
+
+    /// Ends all refusals of session state.
+    fn accept_state(&self) {
+        for (_, instances) in &self.cluster.groups {
+            for instance in instances {
+                for word in STATE_WORDS {
+                    instance.server.set_refusal(word, None);
+                }
+            }
+        }
+    }
+
     fn signal(&self, step: &Step, signal: Signal) {
         if let Some(daemon) = self.daemon(step.target) {
             daemon.signal(signal);
@@ -217,6 +247,7 @@
             Fault::LoseAnswers => instance.server.set_response_loss(true),
             Fault::DeafReplica => group.set_replication_paused(target.1, true),
             Fault::CutInstance => instance.proxy.partition(true),
+            Fault::InstanceUnanswered => instance.proxy.discard(true),
             Fault::CutAnswers => instance.proxy.stall_responses(true),
             Fault::ResetInstance => instance.proxy.close_connections(),
             Fault::DelayInstance => instance.proxy.delay(INSTANCE_DELAY),
@@ -244,6 +275,8 @@
             Fault::StoreLosesAnswers => self.set_faults(|f| f.loses_responses = false),
             Fault::LoseOrders => self.set_faults(|f| f.loses_promotion_responses = false),
             Fault::StoreSilent => self.cluster.store_proxy.partition(false),
+            Fault::StoreUnanswered => self.cluster.store_proxy.discard(false),
+            Fault::RefuseState => self.accept_state(),
             _ => {}
         }
         let Some((group_index, instance_index)) = target else {
@@ -257,6 +290,7 @@
             Fault::DeafReplica => group.set_replication_paused(instance_index, false),
             Fault::CutInstance | Fault::CutAnswers => instance.proxy.partition(false),
             Fault::DelayInstance => instance.proxy.delay(Duration::ZERO),
+            Fault::InstanceUnanswered => instance.proxy.discard(false),
             _ => {}
         }
         Ok(())
@@ -276,10 +310,13 @@
         self.set_faults(|f| *f = StoreFaults::default());
         self.cluster.put_table(self.table_version, self.extra_databases);
         self.cluster.store_proxy.partition(false);
+        self.cluster.store_proxy.discard(false);
+        self.accept_state();
         for (group, instances) in &self.cluster.groups {
             for (instance_index, instance) in instances.iter().enumerate() {
                 instance.proxy.partition(false);
                 instance.proxy.delay(Duration::ZERO);
+                instance.proxy.discard(false);
                 instance.server.set_response_loss(false);
                 if !group.is_up(instance_index) {
                     instance.server.restart();
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -50,6 +50,12 @@
     ChangeTable,
     /// The store is away, and comes back from a copy that lacks what was written since.
     RestoreStore,
+    /// The store accepts calls and never answers them, also after the fault has ended.
+    StoreUnanswered,
+    /// An instance accepts statements and never answers them.
+    InstanceUnanswered,
+    /// Instances refuse statements that set or prepare session state.
+    RefuseState,
     /// Another writer stores an entry among those of the instances that no daemon can read.
     OddEntry,
 }
@@ -83,6 +89,13 @@
 /// The same for odd entries.
 const ODD_ENTRY_STREAM: u64 = 0x0dd0_e217;
 
+/// The same for calls that are never answered and statements that are refused.
+const UNANSWERED_STREAM: u64 = 0x51_1e27;
+
+/// The faults of that stream.
+const UNANSWERED: [Fault; 3] =
+    [Fault::StoreUnanswered, Fault::InstanceUnanswered, Fault::RefuseState];
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -132,26 +145,31 @@
     /// same.
     #[must_use]
     pub fn with_restores(self, seed: u64, length: Duration) -> Self {
-        self.with_stream(Fault::RestoreStore, seed ^ RESTORE_STREAM, length)
+        self.with_stream(&[Fault::RestoreStore], seed ^ RESTORE_STREAM, length)
     }
 
     /// Adds entries that no daemon can read; the other faults of the seed stay the same.
     #[must_use]
     pub fn with_odd_entries(self, seed: u64, length: Duration) -> Self {
-        self.with_stream(Fault::OddEntry, seed ^ ODD_ENTRY_STREAM, length)
+        self.with_stream(&[Fault::OddEntry], seed ^ ODD_ENTRY_STREAM, length)
+    }
+
+    /// Adds calls that are accepted and never answered, and refused statements; the other faults of
+    /// the seed stay the same.
+    #[must_use]
+    pub fn with_unanswered_calls(self, seed: u64, length: Duration) -> Self {
+        self.with_stream(&UNANSWERED, seed ^ UNANSWERED_STREAM, length)
     }
 
-    /// Adds faults of one kind from a stream of random numbers of their own.
-    fn with_stream(mut self, fault: Fault, stream_seed: u64, length: Duration) -> Self {
+    /// Adds faults of some kinds from a stream of random numbers of their own.
+    fn with_stream(mut self, faults: &[Fault], stream_seed: u64, length: Duration) -> Self {
         let mut rng = SmallRng::seed_from_u64(stream_seed);
         let mut at = Duration::from_millis(rng.random_range(800..2_500));
         while at + Duration::from_millis(500) < length {
-            self.steps.push(Step {
-                at,
-                lasts: Duration::from_millis(rng.random_range(20..1_500)),
-                fault,
-                target: rng.random_range(0..1_000),
-            });
+            let lasts = Duration::from_millis(rng.random_range(20..1_500));
+            let target = rng.random_range(0..1_000);
+            let fault = faults[target % faults.len()];
+            self.steps.push(Step { at, lasts, fault, target });
             at += Duration::from_millis(rng.random_range(700..4_000));
         }
         self.steps.sort_by_key(|s| s.at);
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -39,6 +39,8 @@
     pub has_restores: bool,
     /// Whether another writer stores entries that no daemon can read.
     pub has_odd_entries: bool,
+    /// Whether calls are accepted and never answered, and session state is refused.
+    pub has_unanswered_calls: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -69,6 +71,9 @@
     if options.has_odd_entries {
         plan = plan.with_odd_entries(options.seed, options.length);
     }
+    if options.has_unanswered_calls {
+        plan = plan.with_unanswered_calls(options.seed, options.length);
+    }
     let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
         .with_max_connections(options.max_connections)
         .without_drain_check();
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -23,6 +23,7 @@
     Nothing,
     Restores,
     OddEntries,
+    UnansweredCalls,
 }
 
 fn check(seed: u64, length: Duration, max_connections: usize, added: Added) {
@@ -36,6 +37,7 @@
         max_connections,
         has_restores: added == Added::Restores,
         has_odd_entries: added == Added::OddEntries,
+        has_unanswered_calls: added == Added::UnansweredCalls,
         clients: 6,
         log_dir: std::env::temp_dir().join(name),
     };
@@ -67,6 +69,11 @@
     check(SHORT_RUN_SEED, Duration::from_secs(6), MANY_CONNECTIONS, Added::OddEntries);
 }
 
+#[test]
+fn a_short_run_with_calls_that_are_never_answered_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, Added::UnansweredCalls);
+}
+
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
