--- a/crates/persimmon-soak/src/changes/fleet.rs
+++ b/crates/persimmon-soak/src/changes/fleet.rs
@@ -209,6 +209,11 @@
         self.written.at = Instant::now();
     }
 
+    /// The version that was written last.
+    pub(super) fn written(&self) -> Written {
+        self.written
+    }
+
     /// Writes the next version of the table: a database moves, one is added, and the one that was
     /// added before is removed.
     pub(super) fn change_table(&mut self) -> Written {
@@ -223,8 +228,12 @@
             let proxy = &self.store_proxies[*index];
             match episode.disruption {
                 Disruption::StoreSilent => proxy.discard(true),
-                Disruption::PeersSilent => {
-                    self.peer_proxies[*index].iter().for_each(|p| p.discard(true));
+                Disruption::PeersSilent => self.each_peer_proxy(*index, |p| p.discard(true)),
+                Disruption::PeersAnswersLost => {
+                    self.each_peer_proxy(*index, |p| p.discard_responses(true));
+                }
+                Disruption::PeersSlow => {
+                    self.each_peer_proxy(*index, |p| p.delay(episode.delay / 4));
                 }
                 Disruption::StoreAnswersLost => proxy.discard_responses(true),
                 Disruption::StoreRefuses => proxy.refuse(true),
@@ -240,6 +249,10 @@
         }
     }
 
+    fn each_peer_proxy(&self, index: usize, act: impl Fn(&FaultProxy)) {
+        self.peer_proxies[index].iter().for_each(act);
+    }
+
     fn signal(&self, index: usize, signal: Signal) {
         if let Some(daemon) = &self.daemons[index] {
             daemon.signal(signal);
@@ -263,7 +276,10 @@
             proxy.discard(false);
             proxy.refuse(false);
             proxy.delay(Duration::ZERO);
-            self.peer_proxies[*index].iter().for_each(|p| p.discard(false));
+            self.each_peer_proxy(*index, |p| {
+                p.discard(false);
+                p.delay(Duration::ZERO);
+            });
             match episode.disruption {
                 Disruption::Freeze => self.signal(*index, Signal::CONT),
                 // One that still ends its transactions is killed, as the platform does.
--- a/crates/persimmon-soak/src/changes/mod.rs
+++ b/crates/persimmon-soak/src/changes/mod.rs
@@ -18,7 +18,7 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
 
 /// How long after a disruption the limits hold again, with a margin for the writes of this program.
-const STABLE_AFTER: Duration = Duration::from_millis(4_300);
+const STABLE_AFTER: Duration = Duration::from_millis(4_100);
 
 /// How long a daemon that is late is watched.
 const WATCH_LIMIT: Duration = Duration::from_secs(10);
@@ -54,15 +54,28 @@
     pub daemon: usize,
     /// From the store's acknowledgement.
     pub after: Duration,
+    /// How often it was asked.
+    pub tries: u32,
     /// The difference that was seen last; `None` if it serves by that version.
     pub difference: Option<String>,
 }
 
+/// When a change was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// Before the disruption had ended; it has to be active once the limits hold again.
+    Before,
+    /// During a disruption that leaves the store steady.
+    During,
+    /// After the disruption.
+    After,
+}
+
 /// The times of one change.
 #[derive(Clone, Debug)]
 pub struct ChangeTimes {
-    /// Whether the change was written during the disruption.
-    pub is_during: bool,
+    /// When the change was written.
+    pub moment: Moment,
     /// One for each daemon that must apply the change in time.
     pub applied: Vec<Applied>,
 }
@@ -126,14 +139,22 @@
     if is_timed {
         std::thread::sleep(episode.change_at.saturating_sub(began.elapsed()));
         let written = fleet.change_table();
-        times.push(ChangeTimes { is_during: true, applied: time_change(fleet, &others, written) });
+        let applied = time_change(fleet, &others, written);
+        times.push(ChangeTimes { moment: Moment::During, applied });
     }
     std::thread::sleep(episode.lasts.saturating_sub(began.elapsed()));
     fleet.end_disruption(episode, &targets)?;
     std::thread::sleep(STABLE_AFTER);
-    let written = fleet.change_table();
     let all: Vec<usize> = (0..fleet.len()).collect();
-    times.push(ChangeTimes { is_during: false, applied: time_change(fleet, &all, written) });
+    // What was accepted longer ago than a change may take is active without a further wait.
+    let mut before = fleet.written();
+    before.at = Instant::now().checked_sub(APPLY_LIMIT).unwrap_or(before.at);
+    let applied = time_change(fleet, &all, before);
+    let differing = applied.into_iter().filter(|a| a.tries > 1);
+    times.push(ChangeTimes { moment: Moment::Before, applied: differing.collect() });
+    let written = fleet.change_table();
+    let applied = time_change(fleet, &all, written);
+    times.push(ChangeTimes { moment: Moment::After, applied });
     Ok(times)
 }
 
@@ -146,11 +167,13 @@
         };
         let (index, address) = (*index, daemon.addresses.clients);
         probes.push(std::thread::spawn(move || {
+            let mut tries = 0;
             loop {
                 let difference = find_difference(address, written);
                 let after = written.at.elapsed();
+                tries += 1;
                 if difference.is_none() || after > WATCH_LIMIT {
-                    return Applied { daemon: index, after, difference };
+                    return Applied { daemon: index, after, tries, difference };
                 }
                 std::thread::sleep(PROBE_INTERVAL);
             }
--- a/crates/persimmon-soak/src/changes/plan.rs
+++ b/crates/persimmon-soak/src/changes/plan.rs
@@ -20,6 +20,10 @@
     StoreSlow,
     /// The targets accept the calls of other daemons and never answer them.
     PeersSilent,
+    /// The targets handle the calls of other daemons, and the answers are lost.
+    PeersAnswersLost,
+    /// The targets answer other daemons late, a large answer later than a small one.
+    PeersSlow,
     /// The targets are stopped with SIGSTOP.
     Freeze,
     /// The targets are killed, and restarted together.
@@ -30,7 +34,7 @@
     Restore,
 }
 
-const DISRUPTIONS: [Disruption; 9] = [
+const DISRUPTIONS: [Disruption; 11] = [
     Disruption::StoreSilent,
     Disruption::StoreAnswersLost,
     Disruption::StoreRefuses,
@@ -40,6 +44,8 @@
     Disruption::Stop,
     Disruption::Restore,
     Disruption::PeersSilent,
+    Disruption::PeersAnswersLost,
+    Disruption::PeersSlow,
 ];
 
 /// A name that stands for nothing in a plan.
@@ -132,13 +138,27 @@
         self
     }
 
+    /// Whether the calls between daemons are disturbed.
+    #[must_use]
+    pub fn disturbs_peers(&self) -> bool {
+        matches!(
+            self.disruption,
+            Disruption::PeersSilent | Disruption::PeersAnswersLost | Disruption::PeersSlow
+        )
+    }
+
     /// Whether a change during the disruption must reach the daemons that are not disturbed in time:
     /// the store serves them as always.
     #[must_use]
     pub fn has_steady_store(&self) -> bool {
         matches!(
             self.disruption,
-            Disruption::Freeze | Disruption::Kill | Disruption::Stop | Disruption::PeersSilent
+            Disruption::Freeze
+                | Disruption::Kill
+                | Disruption::Stop
+                | Disruption::PeersSilent
+                | Disruption::PeersAnswersLost
+                | Disruption::PeersSlow
         )
     }
 
