--- a/crates/persimmon-ownership/src/watch_source.rs
+++ b/crates/persimmon-ownership/src/watch_source.rs
@@ -2,7 +2,7 @@
 //!
 //! Calls to the store must not grow with the fleet. Two daemons of each failure domain, the
 //! watchers, watch the store; the others receive the changes from them. A daemon whose watchers
-//! fall silent turns to those of other failure domains, and last to the store itself.
+//! fall silent turns to the store itself, and between its calls to those of other failure domains.
 //!
 //! Invariant: a daemon whose watchers do not answer asks the store again before a change of the table
 //! may be overdue, however many watchers there are.
@@ -60,8 +60,8 @@
 const ISOLATED_CALL_INTERVAL: RangeInclusive<Duration> =
     Duration::from_millis(1_000)..=Duration::from_millis(1_500);
 
-/// Requests in a row without an answer after which the store is asked before further watchers: each
-/// takes about a second.
+/// Requests in a row without an answer after which the store is asked before further watchers, of
+/// which each may take its time limit.
 const MAX_UNANSWERED: u32 = 2;
 
 /// Pause before the watchers are tried again.
