--- a/crates/persimmon-ownership/tests/watch_source.rs
+++ b/crates/persimmon-ownership/tests/watch_source.rs
@@ -185,3 +185,20 @@
     let gap = now.since(asked_at);
     assert!(gap <= Duration::from_secs(1) + LONGEST_GAP, "{gap:?}");
 }
+
+/// Guards against a second request that waits at a watcher as long as the first one did.
+#[test]
+fn unanswered_request_is_remembered_until_a_watcher_answers() {
+    let mut chooser = SourceChooser::new();
+    assert!(!chooser.has_unanswered());
+
+    chooser.record_failure(at(0), address(1), WatcherFailure::Unreachable);
+    assert!(chooser.has_unanswered());
+
+    chooser.record_success();
+    assert!(!chooser.has_unanswered());
+    chooser.record_failure(at(0), address(1), WatcherFailure::Unreachable);
+    // This one answered, although it has no changes.
+    chooser.record_failure(at(0), address(2), WatcherFailure::StoreDown);
+    assert!(!chooser.has_unanswered());
+}
--- a/crates/persimmon-soak/src/changes/fleet.rs
+++ b/crates/persimmon-soak/src/changes/fleet.rs
@@ -169,7 +169,7 @@
         self.daemons.len()
     }
 
-    /// The client address and the log of a running daemon.
+    /// The daemon with a number; `None` while it is stopped.
     pub(super) fn daemon(&self, index: usize) -> Option<&Daemon> {
         self.daemons[index].as_ref()
     }
@@ -294,7 +294,7 @@
     }
 }
 
-/// Why a daemon does not serve by a version of the table.
+/// How what a client sees at a daemon differs from a version of the table; `None` if it does not.
 pub(super) fn find_difference(address: SocketAddr, written: Written) -> Option<String> {
     let open = |database: &str| LineClient::open(address, database, "probe");
     if let Err(err) = open(&Written::added_database(written.version)) {
--- a/crates/persimmon-soak/src/changes/mod.rs
+++ b/crates/persimmon-soak/src/changes/mod.rs
@@ -146,7 +146,8 @@
     fleet.end_disruption(episode, &targets)?;
     std::thread::sleep(STABLE_AFTER);
     let all: Vec<usize> = (0..fleet.len()).collect();
-    // What was accepted longer ago than a change may take is active without a further wait.
+    // The last change was accepted before the limits held again, so that it is overdue now: a daemon
+    // that does not serve by it at the first try is late.
     let mut before = fleet.written();
     before.at = Instant::now().checked_sub(APPLY_LIMIT).unwrap_or(before.at);
     let applied = time_change(fleet, &all, before);
