Let session_state_bytes fall when a session ends

What operators would see: the gauge kept its last value after the sessions that held the memory had ended, as if a client still took it. It was written only when a value was set.

Change: it is written when state is set, forgotten, or its session ends, in one place.

--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -10,7 +10,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -126,6 +125,8 @@
     session.rollback_detached();
     // Flushes the last replies; the session ends whether or not this succeeds.
     let _ = session.io.shutdown().await;
+    drop(session);
+    worker.record_state_bytes();
     worker.sessions.set(worker.sessions.get() - 1);
     Metrics::increment(&worker.metrics.sessions_closed);
 }
@@ -289,7 +290,7 @@
             }
             Statement::Deallocate { name } => {
                 self.state.deallocate(name);
-                self.complete()
+                self.answer_state_change(query, Ok(()))
             }
             Statement::Execute { name, .. } => match self.state.prepared(name).cloned() {
                 Some(shape) => self.run_statement(query, Some(&shape)).await,
@@ -306,13 +307,12 @@
 
     /// Answers a change of the session's state; returns whether the session continues.
     fn answer_state_change(&mut self, query: &Query, change: Result<(), StateLimit>) -> bool {
-        let (session_bytes, total_bytes) = self.state.bytes();
-        let metrics = &self.worker.metrics;
-        metrics.session_state_bytes.store(total_bytes as u64, Ordering::Relaxed);
+        self.worker.record_state_bytes();
         let Err(limit) = change else {
             return self.complete();
         };
-        Metrics::increment(&metrics.session_state_refused);
+        Metrics::increment(&self.worker.metrics.session_state_refused);
+        let (session_bytes, total_bytes) = self.state.bytes();
         if self.worker.log.should_log(true) {
             tracing::info!(id = %query.id, database = %self.database, ?limit, session_bytes,
                 total_bytes, "a value or prepared statement of a session is refused");
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -6,6 +6,7 @@
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use persimmon_balancing::LatencyBaseline;
@@ -148,6 +149,12 @@
         }
     }
 
+    /// Publishes how much memory the values and prepared statements of sessions occupy.
+    pub(crate) fn record_state_bytes(&self) {
+        let bytes = u64::try_from(self.state_budget.used()).unwrap_or(u64::MAX);
+        self.metrics.session_state_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// The current snapshot.
     pub(crate) fn snapshot(&self) -> Arc<RoutingSnapshot> {
         Arc::clone(&self.snapshot.borrow())
--- a/crates/persimmond/tests/floods.rs
+++ b/crates/persimmond/tests/floods.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 
-use crate::fleet::{Setup, setup};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup};
 
 /// The seed of the damage to messages.
 const SEED: u64 = 29;
@@ -95,6 +95,19 @@
     line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number")
 }
 
+/// A value that the daemon's metrics address serves.
+fn metric(setup: &Setup, name: &str) -> String {
+    let lines = setup.daemons[0].log_lines().expect("the log is read");
+    let address = lines.iter().find_map(|line| line["metrics"].as_str()).expect("an address");
+    let mut stream = connect(address.parse().expect("an address"));
+    let request = "GET /metrics HTTP/1.1\r\nHost: daemon\r\nConnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the metrics are read");
+    let found = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    found.expect("the metric is served").trim().to_owned()
+}
+
 #[test]
 fn damaged_messages_of_peers_end_only_their_connection() {
     let setup = setup("flood-peers", 2);
@@ -181,7 +194,10 @@
     assert!(refused > 100, "{refused}");
     assert_serves(&setup);
     assert!(peak_memory_kb(&setup) < MEMORY_LIMIT_KB, "{} KB", peak_memory_kb(&setup));
+    assert_ne!(metric(&setup, "persimmon_session_state_bytes"), "0");
     drop(sessions);
+    let is_released = || metric(&setup, "persimmon_session_state_bytes") == "0";
+    assert!(holds_within(CONDITION_TIMEOUT, is_released), "the metric still counts ended sessions");
     setup.assert_no_violations();
 }
 
