Workspaces: client keys as digests, and connections that carry one workspace

The platform identifies a workspace by the key in a client's STARTUP, and an instance is to be told the workspace's name. The adapter replaces each key by a digest when it reads the table or a STARTUP, so that no key reaches a log, a peer or an instance. Connections to instances are opened for one workspace and reused for that one only.

--- a/crates/persimmon-interfaces/src/lib.rs
+++ b/crates/persimmon-interfaces/src/lib.rs
@@ -27,4 +27,5 @@
 };
 pub use topology::{
     DecodeError, Freshness, Instance, InstanceReport, ObjectDecoder, Role, Route, Service, Table,
+    UnknownKey,
 };
--- a/crates/persimmon-interfaces/src/protocol.rs
+++ b/crates/persimmon-interfaces/src/protocol.rs
@@ -5,6 +5,7 @@
 
 use ntex::util::BytesMut;
 use persimmon_types::{Lsn, Position, Term};
+use persimmon_workspace::ClientKey;
 use thiserror::Error;
 
 use crate::statement::{Access, Query};
@@ -34,8 +35,8 @@
     Open {
         /// The database name that the client gives.
         database: Arc<str>,
-        /// The user name that the client gives.
-        user: Arc<str>,
+        /// The digest of the key that the client gives.
+        key: ClientKey,
     },
     /// Runs a statement.
     Query(Query),
@@ -79,6 +80,8 @@
     MayHaveRun,
     /// No route exists for the database name.
     NoSuchDatabase,
+    /// The client's key identifies no workspace.
+    UnknownKey,
     /// The statement is invalid, or invalid in the present state of the session.
     Malformed,
     /// A code that this version does not know.
@@ -132,6 +135,8 @@
     Open {
         /// The service to which the instance is expected to belong.
         service: &'a str,
+        /// The workspace for which the connection is used; `None` for none.
+        workspace: Option<&'a str>,
         /// The instance that is expected at this address.
         instance: &'a str,
     },
--- a/crates/persimmon-interfaces/src/topology.rs
+++ b/crates/persimmon-interfaces/src/topology.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use persimmon_workspace::{ClientKey, Workspace, WorkspaceDirectory};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -48,6 +49,9 @@
     pub target: Duration,
     /// Priority of its statements; 0 is the most important.
     pub priority: u8,
+    /// Whether clients need no key.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// A database group: a primary and its replicas.
@@ -72,6 +76,32 @@
     pub services: HashMap<Arc<str>, Service>,
     /// How long a transaction may be idle before the proxy may end it.
     pub tx_idle: Duration,
+    /// The workspaces; `None` in a deployment that has none, where clients need no key.
+    #[serde(default)]
+    pub workspaces: Option<Arc<WorkspaceDirectory>>,
+}
+
+/// The error for a key that identifies no workspace on a route that requires one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the key identifies no workspace")]
+pub struct UnknownKey;
+
+impl Table {
+    /// The workspace for which a client with `key` uses `route`; `None` if the route needs none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the route needs a workspace and the key identifies none.
+    pub fn workspace(
+        &self,
+        route: &Route,
+        key: ClientKey,
+    ) -> Result<Option<&Arc<Workspace>>, UnknownKey> {
+        let Some(workspaces) = self.workspaces.as_ref().filter(|_| !route.is_public) else {
+            return Ok(None);
+        };
+        workspaces.find(key).map(Some).ok_or(UnknownKey)
+    }
 }
 
 /// The role of an instance.
--- a/crates/persimmon-proxy/src/connection.rs
+++ b/crates/persimmon-proxy/src/connection.rs
@@ -89,9 +89,42 @@
     }
 }
 
+/// The user as whom a connection was opened, which an instance learns in the handshake.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ConnectionUser<'a> {
+    /// Any: the connection carries only statements of the proxy's own.
+    #[default]
+    Any,
+    /// No workspace.
+    Anonymous,
+    /// A workspace.
+    Workspace(&'a Arc<str>),
+}
+
+impl ConnectionUser<'_> {
+    /// Whether a connection that was opened for `workspace` will do.
+    pub(crate) fn accepts(self, workspace: Option<&Arc<str>>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Anonymous => workspace.is_none(),
+            Self::Workspace(name) => workspace == Some(name),
+        }
+    }
+
+    /// The workspace for which a new connection is opened.
+    pub(crate) fn workspace(self) -> Option<Arc<str>> {
+        match self {
+            Self::Any | Self::Anonymous => None,
+            Self::Workspace(name) => Some(Arc::clone(name)),
+        }
+    }
+}
+
 /// The state that a session requires of a connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DesiredState<'a> {
+    /// The user as whom it was opened.
+    pub(crate) user: ConnectionUser<'a>,
     /// The session's variables.
     pub(crate) variables: Option<&'a BTreeMap<Arc<str>, Arc<str>>>,
     /// The prepared statement to execute.
@@ -114,6 +147,8 @@
 pub(crate) struct BackendConnection {
     io: Io,
     codec: ReplyCodec,
+    /// The workspace for which it was opened, for its whole life.
+    workspace: Option<Arc<str>>,
     variables: BTreeMap<Arc<str>, Arc<str>>,
     prepared: HashMap<Shape, Arc<str>>,
     prepared_count: u32,
@@ -126,14 +161,14 @@
 }
 
 impl BackendConnection {
-    /// Opens a connection within `limit`.
+    /// Opens a connection for statements of the proxy's own within `limit`.
     pub(crate) async fn open(
         protocol: &Arc<dyn InstanceProtocol>,
         instance: &Instance,
         limit: Duration,
     ) -> Result<Self, ConnectionError> {
         let began = Clock.now();
-        let mut backend = Self::connect(protocol, instance, limit).await?;
+        let mut backend = Self::connect(protocol, instance, None, limit).await?;
         backend.handshake(instance, limit.saturating_sub(Clock.now().since(began))).await?;
         Ok(backend)
     }
@@ -143,6 +178,7 @@
     pub(crate) async fn connect(
         protocol: &Arc<dyn InstanceProtocol>,
         instance: &Instance,
+        workspace: Option<Arc<str>>,
         limit: Duration,
     ) -> Result<Self, ConnectionError> {
         let used_at = Clock.now();
@@ -150,6 +186,7 @@
         Ok(Self {
             io,
             codec: ReplyCodec(Arc::clone(protocol)),
+            workspace,
             variables: BTreeMap::new(),
             prepared: HashMap::new(),
             prepared_count: 0,
@@ -166,11 +203,21 @@
         instance: &Instance,
         limit: Duration,
     ) -> Result<(), ConnectionError> {
-        self.send(&[Command::Open { service: &instance.service, instance: &instance.id }])?;
+        let workspace = self.workspace.clone();
+        self.send(&[Command::Open {
+            service: &instance.service,
+            workspace: workspace.as_deref(),
+            instance: &instance.id,
+        }])?;
         let answer = self.answer(limit.max(Duration::from_millis(1))).await?;
         answer.result.map(|_| ()).map_err(|(code, text)| ConnectionError::Refused(code, text))
     }
 
+    /// The workspace for which the connection was opened.
+    pub(crate) fn workspace(&self) -> Option<&Arc<str>> {
+        self.workspace.as_ref()
+    }
+
     /// Whether another session may use the connection: every message sent has been answered
     /// completely, no transaction is open, and the session state is known.
     pub(crate) fn is_idle(&self) -> bool {
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -13,7 +13,7 @@
 use persimmon_types::{Clock, Time};
 use rand::Rng;
 
-use crate::connection::{Answer, DesiredState};
+use crate::connection::Answer;
 use crate::metrics::Metrics;
 use crate::pool::PooledConnection;
 use crate::round_trip::InFlight;
@@ -204,8 +204,10 @@
         let primary = self.believed_primary(service).map(|p| Arc::clone(&p.id));
         let now = Clock.now();
         let listed = snapshot.instances(service);
-        let loads: Vec<_> =
-            listed.iter().map(|entry| self.pool.load_and_idle(&entry.instance.id)).collect();
+        let loads: Vec<_> = listed
+            .iter()
+            .map(|entry| self.pool.load_and_idle(&entry.instance.id, job.user()))
+            .collect();
         let mut candidates = Vec::with_capacity(listed.len());
         for (index, (entry, (load, is_connected))) in listed.iter().zip(&loads).enumerate() {
             let is_primary = primary.as_ref() == Some(&entry.instance.id);
@@ -239,8 +241,7 @@
         instance: &Arc<Instance>,
     ) -> Result<(PooledConnection, Answer), AttemptFailure> {
         let _in_flight = InFlight::new(self, &instance.id);
-        let desired =
-            DesiredState { variables: Some(job.variables), shape: job.shape, begin: None };
+        let desired = job.desired_state();
         let began = Clock.now();
         let opened = self.ready_connection(job, execution, instance, desired).await;
         execution.connection_wait += Clock.now().since(began);
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -11,11 +11,12 @@
 use persimmon_balancing::AttemptFailure;
 use persimmon_interfaces::{Access, ErrorCode, Query, Route, Statement, TxStatus};
 use persimmon_types::{Clock, Position, Time};
+use persimmon_workspace::ClientKey;
 use serde::{Deserialize, Serialize};
 
 use crate::connection::{Answer, Shape};
 use crate::forwarding::service::{ContinueReply, ExecuteReply};
-use crate::statement_job::{Execution, ExecutionMode, StatementJob};
+use crate::statement_job::{Caller, Execution, ExecutionMode, StatementJob};
 use crate::transaction::TransactionStep;
 
 /// Microseconds of a duration, for the wire.
@@ -62,6 +63,29 @@
     text: Arc<str>,
 }
 
+/// The workspace of a statement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireCaller {
+    workspace: Arc<str>,
+    /// The digest of the key, never its text.
+    key: ClientKey,
+    /// The version of the sender's table.
+    table: u64,
+}
+
+impl From<&Caller> for WireCaller {
+    fn from(caller: &Caller) -> Self {
+        let workspace = Arc::clone(&caller.workspace);
+        Self { workspace, key: caller.key, table: caller.table_version }
+    }
+}
+
+impl From<WireCaller> for Caller {
+    fn from(wire: WireCaller) -> Self {
+        Self { workspace: wire.workspace, key: wire.key, table_version: wire.table }
+    }
+}
+
 /// A statement with what its session requires of the connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct WireStatement {
@@ -71,6 +95,8 @@
     shape: Option<WireShape>,
     variables: BTreeMap<Arc<str>, Arc<str>>,
     route: Route,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    caller: Option<WireCaller>,
     last_commit_position: Option<Position>,
     /// Age of the session's last commit without a known position, if there was one.
     unpositioned_commit_age_us: Option<u64>,
@@ -94,6 +120,7 @@
             shape,
             variables: job.variables.clone(),
             route: (*job.route).clone(),
+            caller: job.caller.map(WireCaller::from),
             last_commit_position: job.last_commit_position,
             unpositioned_commit_age_us: unpositioned.map(age_us),
             fresh_as_of_age_us: age_us(job.fresh_as_of),
@@ -109,6 +136,7 @@
     shape: Option<Shape>,
     variables: BTreeMap<Arc<str>, Arc<str>>,
     pub(crate) route: Arc<Route>,
+    pub(crate) caller: Option<Caller>,
     last_commit_position: Option<Position>,
     unpositioned_commit_at: Time,
     fresh_as_of: Time,
@@ -130,6 +158,7 @@
             shape,
             variables: wire.variables,
             route: Arc::new(wire.route),
+            caller: wire.caller.map(Caller::from),
             last_commit_position: wire.last_commit_position,
             unpositioned_commit_at,
             fresh_as_of: now - Duration::from_micros(wire.fresh_as_of_age_us),
@@ -149,6 +178,7 @@
         StatementJob {
             query: &self.query,
             route: Arc::clone(&self.route),
+            caller: self.caller.as_ref(),
             shape: self.shape.as_ref(),
             variables: &self.variables,
             last_commit_position: self.last_commit_position,
@@ -194,7 +224,7 @@
 }
 
 /// The codes that have a name on the wire; any other one travels as its own text.
-const CODES: [(ErrorCode, &str); 12] = [
+const CODES: [(ErrorCode, &str); 13] = [
     (ErrorCode::Busy, "busy"),
     (ErrorCode::Aborted, "aborted"),
     (ErrorCode::Behind, "behind"),
@@ -206,6 +236,7 @@
     (ErrorCode::TimedOut, "timed-out"),
     (ErrorCode::MayHaveRun, "may-have-run"),
     (ErrorCode::NoSuchDatabase, "no-such-database"),
+    (ErrorCode::UnknownKey, "unknown-key"),
     (ErrorCode::Malformed, "malformed"),
 ];
 
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -54,6 +54,6 @@
 pub use reachability::Reachability;
 pub use run::run;
 pub use session::state::{SessionState, StateLimit};
-pub use settings::{Settings, session_state_limits};
+pub use settings::{QuotaBounds, Settings, session_state_limits};
 pub use snapshot::{DirectoryEntry, RoutingSnapshot};
 pub use socket::connect;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -72,6 +72,8 @@
     sessions_opened,
     /// Sessions ended.
     sessions_closed,
+    /// Sessions and statements refused because the key identifies no workspace.
+    unknown_keys,
     /// Values and prepared statements of sessions refused for their size or number.
     session_state_refused,
     /// Reads, writes and commits answered with success.
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -5,7 +5,7 @@
 //! refuses more.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use persimmon_types::{Clock, Time};
 use tokio::sync::{Notify, Semaphore};
 
-use crate::connection::{BackendConnection, ConnectionError};
+use crate::connection::{BackendConnection, ConnectionError, ConnectionUser, DesiredState};
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 
@@ -156,12 +156,19 @@
         f(&mut self.entries.borrow_mut().entry(Arc::clone(id)).or_default().admission)
     }
 
-    /// An instance's load, and whether there is an idle connection to it.
-    pub(crate) fn load_and_idle(&self, id: &Arc<str>) -> (InstanceLoad, bool) {
+    /// An instance's load, and whether there is an idle connection to it for `user`.
+    pub(crate) fn load_and_idle(
+        &self,
+        id: &Arc<str>,
+        user: ConnectionUser<'_>,
+    ) -> (InstanceLoad, bool) {
         let entries = self.entries.borrow();
         entries.get(id).map_or_else(
             || (InstanceLoad::new(), false),
-            |entry| (entry.load.clone(), !entry.idle.is_empty()),
+            |entry| {
+                let is_usable = |b: &BackendConnection| user.accepts(b.workspace());
+                (entry.load.clone(), entry.idle.iter().any(is_usable))
+            },
         )
     }
 
@@ -187,11 +194,12 @@
         entry.released.notify_one();
     }
 
-    /// Takes an idle connection, preferring one that already has these session variables.
+    /// Takes an idle connection of the desired user, preferring one that already has the desired
+    /// session variables.
     fn take_idle(
         &self,
         instance: &Instance,
-        variables: Option<&BTreeMap<Arc<str>, Arc<str>>>,
+        desired: &DesiredState<'_>,
     ) -> Option<BackendConnection> {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
@@ -204,12 +212,13 @@
             };
         }
         entry.idle.retain(BackendConnection::is_idle);
-        if entry.idle.is_empty() {
-            return None;
-        }
-        let matching =
-            variables.and_then(|v| entry.idle.iter().position(|backend| backend.has_variables(v)));
-        let index = matching.unwrap_or(entry.idle.len() - 1);
+        let is_usable = |backend: &BackendConnection| desired.user.accepts(backend.workspace());
+        let matching = desired.variables.and_then(|variables| {
+            let matches = |b: &BackendConnection| is_usable(b) && b.has_variables(variables);
+            entry.idle.iter().position(matches)
+        });
+        // The most recently used connections are at the end.
+        let index = matching.or_else(|| entry.idle.iter().rposition(is_usable))?;
         entry.counts.checked_out += 1;
         Some(entry.idle.remove(index))
     }
@@ -242,13 +251,13 @@
     pub(crate) async fn acquire(
         self: &Rc<Self>,
         instance: &Arc<Instance>,
-        variables: Option<&BTreeMap<Arc<str>, Arc<str>>>,
+        desired: &DesiredState<'_>,
         max_connections: u32,
         deadline: Time,
     ) -> Result<PooledConnection, Unavailable> {
         let mut failures_before = None;
         loop {
-            if let Some(backend) = self.take_idle(instance, variables) {
+            if let Some(backend) = self.take_idle(instance, desired) {
                 let pool = Rc::clone(self);
                 let instance = Arc::clone(instance);
                 return Ok(PooledConnection {
@@ -264,7 +273,9 @@
             }
             if self.try_reserve_open(instance, now, max_connections) {
                 let (pool, instance) = (Rc::clone(self), Arc::clone(instance));
-                ntex::rt::spawn(async move { pool.open(&instance).await });
+                let workspace = desired.user.workspace();
+                self.make_room(&instance.id, now, desired.user);
+                ntex::rt::spawn(async move { pool.open(&instance, workspace).await });
             }
             let released = {
                 let mut entries = self.entries.borrow_mut();
@@ -284,10 +295,28 @@
         }
     }
 
-    /// Opens a connection and adds it to the idle ones.
-    async fn open(&self, instance: &Arc<Instance>) {
+    /// Closes the idle connection of another workspace that was not used for the longest time, if as
+    /// many are idle as this daemon keeps.
+    fn make_room(&self, id: &Arc<str>, now: Time, user: ConnectionUser<'_>) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(id) else {
+            return;
+        };
+        if entry.idle.len() < entry.idle_policy.max_idle(now).max(1) {
+            return;
+        }
+        let oldest = entry.idle.iter().position(|backend| !user.accepts(backend.workspace()));
+        if let Some(index) = oldest {
+            entry.idle.remove(index);
+        }
+    }
+
+    /// Opens a connection for a workspace and adds it to the idle ones.
+    async fn open(&self, instance: &Arc<Instance>, workspace: Option<Arc<str>>) {
         let opening = OpeningGuard { pool: self, id: &instance.id };
-        let connected = BackendConnection::connect(&self.protocol, instance, OPEN_TIMEOUT).await;
+        let connecting =
+            BackendConnection::connect(&self.protocol, instance, workspace, OPEN_TIMEOUT);
+        let connected = connecting.await;
         let opened = match connected {
             Ok(backend) => self.handshake(instance, backend).await,
             Err(err) => Err(err),
@@ -383,7 +412,8 @@
             return;
         }
         // If this fails, a connection is opened on first use.
-        let _ = self.acquire(instance, None, max_connections, now + OPEN_TIMEOUT).await;
+        let desired = DesiredState::default();
+        let _ = self.acquire(instance, &desired, max_connections, now + OPEN_TIMEOUT).await;
     }
 
     /// Closes connections that exceed the idle limits or whose instance is no longer listed.
--- a/crates/persimmon-proxy/src/primaries.rs
+++ b/crates/persimmon-proxy/src/primaries.rs
@@ -230,7 +230,7 @@
         let service = &instance.service;
         let max_connections = self.max_connections(service);
         let mut connection =
-            match self.pool.acquire(instance, desired.variables, max_connections, deadline).await {
+            match self.pool.acquire(instance, desired, max_connections, deadline).await {
                 Ok(connection) => connection,
                 Err(why) => {
                     if why.is_unreachable() {
--- a/crates/persimmon-proxy/src/round_trip.rs
+++ b/crates/persimmon-proxy/src/round_trip.rs
@@ -82,10 +82,8 @@
     ) -> Result<PooledConnection, AttemptFailure> {
         let service = &instance.service;
         let deadline = job.connection_deadline(Clock.now());
-        let acquired = self
-            .pool
-            .acquire(instance, desired.variables, self.max_connections(service), deadline)
-            .await;
+        let acquired =
+            self.pool.acquire(instance, desired, self.max_connections(service), deadline).await;
         let mut connection = match acquired {
             Ok(connection) => connection,
             Err(why) => {
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -18,15 +18,16 @@
 use ntex::util::BytesMut;
 use persimmon_interfaces::{
     ClientMessage, ClientProtocol, ErrorCode, ProtocolError, Query, Reply, Route, Statement,
-    TxStatus,
+    TxStatus, UnknownKey,
 };
 use persimmon_types::{Clock, Position, Time};
+use persimmon_workspace::ClientKey;
 
 use crate::connection::Answer;
 use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
 use crate::session::state::{SessionState, StateLimit};
-use crate::statement_job::RETRY_AFTER;
+use crate::statement_job::{Caller, RETRY_AFTER};
 use crate::traffic::{ShutdownStage, Worker};
 use crate::transaction::OpenTransaction;
 
@@ -39,6 +40,9 @@
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
+/// What a client with an unknown key is told.
+const UNKNOWN_KEY_TEXT: &str = "the key identifies no workspace";
+
 #[derive(Debug)]
 struct ClientCodec {
     protocol: Arc<dyn ClientProtocol>,
@@ -82,6 +86,9 @@
     io: Io,
     codec: ClientCodec,
     database: Arc<str>,
+    key: ClientKey,
+    /// The workspace that the key identifies in the active table.
+    caller: Option<Caller>,
     state: SessionState,
     last_commit_position: Option<Position>,
     /// When the last commit with an unknown position was acknowledged.
@@ -103,7 +110,7 @@
         share: MemoryShare::new(Rc::clone(&worker.receive_budget)),
     };
     let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
-    let Ok(Ok(Some(ClientMessage::Open { database, user }))) = opened else {
+    let Ok(Ok(Some(ClientMessage::Open { database, key }))) = opened else {
         return;
     };
     Metrics::increment(&worker.metrics.sessions_opened);
@@ -113,6 +120,8 @@
         io,
         codec,
         database,
+        key,
+        caller: None,
         state: SessionState::new(
             MemoryShare::new(Rc::clone(&worker.state_budget)),
             worker.settings.session_state_limit,
@@ -121,7 +130,7 @@
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
     };
-    session.run(&user).await;
+    session.run().await;
     session.rollback_detached();
     // Flushes the last replies; the session ends whether or not this succeeds.
     let _ = session.io.shutdown().await;
@@ -132,8 +141,8 @@
 }
 
 impl Session {
-    async fn run(&mut self, user: &str) {
-        if !self.start(user).await {
+    async fn run(&mut self) {
+        if !self.start().await {
             return;
         }
         let mut handled = 0_u32;
@@ -156,12 +165,12 @@
         }
     }
 
-    async fn start(&mut self, user: &str) -> bool {
+    async fn start(&mut self) -> bool {
         let deadline = Clock.now() + TABLE_WAIT_TIMEOUT;
         while self.worker.snapshot().table.is_none() {
             let left = deadline.since(Clock.now());
             if left.is_zero() {
-                tracing::warn!(database = %self.database, user,
+                tracing::warn!(database = %self.database,
                     "session refused: no table has been received yet");
                 self.send(&[refusal(ErrorCode::Busy, RETRY_AFTER)]);
                 return false;
@@ -169,12 +178,19 @@
             // A timeout only makes the loop check again.
             let _ = tokio::time::timeout(left, self.worker.snapshot_changed()).await;
         }
-        if self.route().is_none() {
-            let version = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
-            tracing::info!(database = %self.database, user, table = version,
+        let version = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
+        let Some(route) = self.route() else {
+            tracing::info!(database = %self.database, table = version,
                 "session refused: no route for the database");
             self.send(&[error(ErrorCode::NoSuchDatabase, &self.database)]);
             return false;
+        };
+        if self.identify(&route).is_err() {
+            Metrics::increment(&self.worker.metrics.unknown_keys);
+            tracing::info!(database = %self.database, table = version,
+                "session refused: the key identifies no workspace");
+            self.send(&[error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT)]);
+            return false;
         }
         self.send(&[ready(TxStatus::Idle, None)]);
         true
@@ -184,6 +200,45 @@
         self.worker.snapshot().table.as_ref()?.routes.get(&self.database).cloned()
     }
 
+    /// Looks the session's workspace up in the active table.
+    fn identify(&mut self, route: &Route) -> Result<(), UnknownKey> {
+        let snapshot = self.worker.snapshot();
+        let Some(table) = snapshot.table.as_ref() else {
+            return Err(UnknownKey);
+        };
+        self.caller = table.workspace(route, self.key)?.map(|workspace| Caller {
+            workspace: Arc::clone(&workspace.name),
+            key: self.key,
+            table_version: table.version,
+        });
+        Ok(())
+    }
+
+    /// Refuses a statement whose session's key was removed from the table, and ends the session. The
+    /// open transaction is rolled back.
+    fn refuse_unknown_key(&mut self, query: &Query) -> bool {
+        Metrics::increment(&self.worker.metrics.unknown_keys);
+        let has_transaction = !matches!(self.tx, Tx::None);
+        let version = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
+        tracing::info!(id = %query.id, database = %self.database, table = version, has_transaction,
+            "not run: the session's key was removed");
+        if !has_transaction {
+            self.send(&[
+                error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT),
+                ready(TxStatus::Idle, None),
+            ]);
+            return false;
+        }
+        let is_commit = query.statement == Statement::Commit;
+        self.rollback_detached();
+        self.tx = if is_commit { Tx::None } else { Tx::Failed };
+        self.send(&[
+            error(ErrorCode::Aborted, "the session's key was removed; nothing is kept"),
+            ready(self.status(), None),
+        ]);
+        true
+    }
+
     fn send(&self, replies: &[Reply]) {
         let mut buf = BytesMut::with_capacity(256);
         for reply in replies {
@@ -367,6 +422,9 @@
                 "the database's route was removed");
             return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
         };
+        if self.identify(&route).is_err() {
+            return self.refuse_unknown_key(query);
+        }
         self.tx = Tx::Begun { is_read_only, arrival: Clock.now(), route };
         self.complete()
     }
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -22,6 +22,12 @@
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
         let worker = Rc::clone(&self.worker);
+        if let Tx::Begun { route, .. } | Tx::Open { route, .. } = &self.tx {
+            let route = Arc::clone(route);
+            if self.identify(&route).is_err() {
+                return self.refuse_unknown_key(query);
+            }
+        }
         let (mode, route, fresh_as_of) = match &self.tx {
             Tx::Open { .. } => return self.continue_transaction(query, shape, arrival).await,
             Tx::Begun { is_read_only, arrival, route } => {
@@ -38,6 +44,9 @@
                         "the database's route was removed");
                     return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
                 };
+                if self.identify(&route).is_err() {
+                    return self.refuse_unknown_key(query);
+                }
                 (autocommit_mode(access), route, arrival)
             }
         };
@@ -135,6 +144,7 @@
         StatementJob {
             query,
             route: Arc::clone(route),
+            caller: self.caller.as_ref(),
             shape,
             variables: self.state.variables(),
             last_commit_position: self.last_commit_position,
--- a/crates/persimmon-proxy/src/settings.rs
+++ b/crates/persimmon-proxy/src/settings.rs
@@ -21,6 +21,17 @@
     (total / SESSION_PART, total)
 }
 
+/// How far the operations of a workspace may exceed its quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// The length of the sliding window over which a quota holds.
+    pub window: Duration,
+    /// The part of the quota by which it may be exceeded.
+    pub overage: f64,
+    /// The operations by which it may be exceeded besides.
+    pub slack: f64,
+}
+
 /// The settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -53,6 +64,8 @@
     pub store: SocketAddr,
     /// Address of the authority that promotes instances.
     pub authority: SocketAddr,
+    /// How far quotas may be exceeded; `None` in a deployment without quotas.
+    pub quota: Option<QuotaBounds>,
     /// How long a draining instance may still receive requests.
     pub instance_drain_limit: Duration,
     /// How long a change of the table may take to become active on every daemon.
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -8,8 +8,9 @@
 use persimmon_balancing::{AttemptKind, final_error_code};
 use persimmon_interfaces::{Access, ErrorCode, Query, Route, Statement};
 use persimmon_types::{Position, Time};
+use persimmon_workspace::ClientKey;
 
-use crate::connection::{Answer, Shape};
+use crate::connection::{Answer, ConnectionUser, DesiredState, Shape};
 use crate::transaction::OpenTransaction;
 
 /// Default delay after which a client may retry a statement that was not run.
@@ -56,11 +57,24 @@
     }
 }
 
+/// The workspace for which a session runs statements.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Caller {
+    /// The workspace's name, which instances are told.
+    pub(crate) workspace: Arc<str>,
+    /// The key that identifies it.
+    pub(crate) key: ClientKey,
+    /// The version of the table in which the key was found.
+    pub(crate) table_version: u64,
+}
+
 /// A statement to execute.
 #[derive(Clone, Debug)]
 pub(crate) struct StatementJob<'a> {
     pub(crate) query: &'a Query,
     pub(crate) route: Arc<Route>,
+    /// The workspace that it belongs to; `None` on a route that needs none.
+    pub(crate) caller: Option<&'a Caller>,
     /// Access and shape of the prepared statement that it executes, if any.
     pub(crate) shape: Option<&'a Shape>,
     /// The session's variables.
@@ -76,7 +90,22 @@
     pub(crate) deadline: Time,
 }
 
-impl StatementJob<'_> {
+impl<'a> StatementJob<'a> {
+    /// The user as whom its connection to an instance must have been opened.
+    pub(crate) fn user(&self) -> ConnectionUser<'a> {
+        self.caller.map_or(ConnectionUser::Anonymous, |c| ConnectionUser::Workspace(&c.workspace))
+    }
+
+    /// The state that its connection must have.
+    pub(crate) fn desired_state(&self) -> DesiredState<'a> {
+        DesiredState {
+            user: self.user(),
+            variables: Some(self.variables),
+            shape: self.shape,
+            begin: None,
+        }
+    }
+
     /// Time until which the statement waits for a connection: at most its latency target, so that a
     /// client that is refused can still retry at another daemon.
     pub(crate) fn connection_deadline(&self, now: Time) -> Time {
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -251,8 +251,13 @@
 async fn keep_prewarmed(worker: Rc<Worker>) {
     loop {
         let snapshot = worker.snapshot();
+        // A connection that belongs to no workspace runs no statement of one.
+        let has_workspaces = snapshot.table.as_ref().is_some_and(|t| t.workspaces.is_some());
         for listed in snapshot.services.values().flatten() {
-            if !listed.accepts_work() || !worker.is_sharer(&listed.instance.service) {
+            if has_workspaces
+                || !listed.accepts_work()
+                || !worker.is_sharer(&listed.instance.service)
+            {
                 continue;
             }
             let max_connections = worker.max_connections(&listed.instance.service);
--- a/crates/persimmon-proxy/src/transaction.rs
+++ b/crates/persimmon-proxy/src/transaction.rs
@@ -10,7 +10,7 @@
 use persimmon_interfaces::{ErrorCode, Statement, TxStatus};
 use persimmon_types::{Clock, Position};
 
-use crate::connection::{Answer, DesiredState};
+use crate::connection::Answer;
 use crate::metrics::Metrics;
 use crate::pool::PooledConnection;
 use crate::round_trip::InFlight;
@@ -71,8 +71,7 @@
     async fn attempt(&mut self, job: &StatementJob<'_>) -> Result<Answer, AttemptFailure> {
         let instance = Arc::clone(&self.connection.instance);
         let _in_flight = InFlight::new(&self.worker, &instance.id);
-        let desired =
-            DesiredState { variables: Some(job.variables), shape: job.shape, begin: None };
+        let desired = job.desired_state();
         let limit = job.deadline.since(Clock.now()).max(Duration::from_millis(1));
         // Variables set since the transaction was opened apply from this statement on.
         if let Err(err) = self.connection.backend().apply_state(&desired, limit).await {
--- /dev/null
+++ b/crates/persimmon-workspace/src/directory.rs
@@ -0,0 +1,141 @@
+//! The workspaces of one version of the operators' table, by key and by name.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::key::ClientKey;
+use crate::workspace::{Quota, Workspace};
+
+/// A workspace, or one of its keys, that is left out of the directory.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum RejectedEntry {
+    /// The name is not a printable word, so that instances cannot be told it.
+    #[error("a workspace's name is not a printable word")]
+    Name,
+    /// Another workspace has the same name.
+    #[error("the workspace {0} is listed twice")]
+    DuplicateName(Arc<str>),
+    /// The quota is negative or not a number.
+    #[error("the quota of the workspace {0} is not a valid number")]
+    Quota(Arc<str>),
+    /// Another workspace holds the same key, so that it identifies neither.
+    #[error("the workspaces {0} and {1} hold the same key")]
+    SharedKey(Arc<str>, Arc<str>),
+}
+
+/// The valid workspaces of one version of the table.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "Vec<Workspace>", into = "Vec<Workspace>")]
+pub struct WorkspaceDirectory {
+    by_key: HashMap<ClientKey, Arc<Workspace>>,
+    by_name: HashMap<Arc<str>, Arc<Workspace>>,
+}
+
+impl PartialEq for WorkspaceDirectory {
+    fn eq(&self, other: &Self) -> bool {
+        self.by_name == other.by_name
+    }
+}
+
+impl Eq for WorkspaceDirectory {}
+
+impl From<Vec<Workspace>> for WorkspaceDirectory {
+    fn from(workspaces: Vec<Workspace>) -> Self {
+        Self::new(workspaces).0
+    }
+}
+
+impl From<WorkspaceDirectory> for Vec<Workspace> {
+    fn from(directory: WorkspaceDirectory) -> Self {
+        directory.by_name.into_values().map(Arc::unwrap_or_clone).collect()
+    }
+}
+
+impl WorkspaceDirectory {
+    /// Creates a directory of the valid workspaces, and returns what is left out of it. An invalid
+    /// workspace or key does not affect the others.
+    #[must_use]
+    pub fn new(workspaces: Vec<Workspace>) -> (Self, Vec<RejectedEntry>) {
+        let mut directory = Self::default();
+        let mut rejected = Vec::new();
+        for workspace in workspaces {
+            match directory.check(&workspace) {
+                Ok(()) => {
+                    let workspace = Arc::new(workspace);
+                    directory.by_name.insert(Arc::clone(&workspace.name), workspace);
+                }
+                Err(err) => rejected.push(err),
+            }
+        }
+        directory.index_keys(&mut rejected);
+        (directory, rejected)
+    }
+
+    fn check(&self, workspace: &Workspace) -> Result<(), RejectedEntry> {
+        let name = &workspace.name;
+        // The name becomes a field of a line.
+        if name.is_empty() || !name.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(RejectedEntry::Name);
+        }
+        if self.by_name.contains_key(name) {
+            return Err(RejectedEntry::DuplicateName(Arc::clone(name)));
+        }
+        let is_valid = |value: f64| value.is_finite() && value >= 0.0;
+        match workspace.quota {
+            Some(Quota { rate_per_s, burst }) if !is_valid(rate_per_s) || !is_valid(burst) => {
+                Err(RejectedEntry::Quota(Arc::clone(name)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn index_keys(&mut self, rejected: &mut Vec<RejectedEntry>) {
+        let mut shared = Vec::new();
+        for workspace in self.by_name.values() {
+            for key in &workspace.keys {
+                match self.by_key.entry(*key) {
+                    Entry::Vacant(entry) => {
+                        entry.insert(Arc::clone(workspace));
+                    }
+                    Entry::Occupied(entry) if entry.get().name != workspace.name => {
+                        let first = Arc::clone(&entry.get().name);
+                        rejected.push(RejectedEntry::SharedKey(first, Arc::clone(&workspace.name)));
+                        shared.push(*key);
+                    }
+                    Entry::Occupied(_) => {}
+                }
+            }
+        }
+        for key in shared {
+            self.by_key.remove(&key);
+        }
+    }
+
+    /// The workspace that a key identifies.
+    #[must_use]
+    pub fn find(&self, key: ClientKey) -> Option<&Arc<Workspace>> {
+        self.by_key.get(&key)
+    }
+
+    /// The workspace of a name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.by_name.get(name)
+    }
+
+    /// The number of workspaces.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether there is no workspace.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
