--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -7,6 +7,7 @@
 //! - A statement that may have run is never sent again unless it only reads.
 
 mod admission;
+mod concurrency;
 mod freshness;
 mod handshakes;
 mod idle_connections;
@@ -15,6 +16,7 @@
 mod selection;
 
 pub use admission::{Admission, AdmissionController};
+pub use concurrency::{ConcurrencyLimit, Observation, Outcome};
 pub use freshness::{PositionSample, PositionSamples};
 pub use handshakes::{ConnectionCounts, ConnectionLimits, HandshakeLimiter};
 pub use idle_connections::IdleConnectionPolicy;
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -59,6 +59,8 @@
     drain_limit: Duration,
     /// Whether the instances record new work after the drain limit.
     checks_drain_limit: bool,
+    /// The workspaces of the table, in the form of the platform; `None` in a deployment without them.
+    workspaces: Mutex<Option<Value>>,
     /// What each instance wrote last of itself, and how often it has written.
     written: Mutex<HashMap<String, (Value, u64)>>,
 }
@@ -98,6 +100,7 @@
             max_connections,
             drain_limit: DEFAULT_DRAIN_LIMIT,
             checks_drain_limit: true,
+            workspaces: Mutex::default(),
             written: Mutex::default(),
         };
         cluster.publish_instances(false);
@@ -122,6 +125,12 @@
         self
     }
 
+    /// Sets the workspaces that the next versions of the table contain, in the form of the platform. A
+    /// client of [`LineClient`] sends its name as its key.
+    pub fn set_workspaces(&self, workspaces: Value) {
+        *self.workspaces.lock().unwrap_or_else(PoisonError::into_inner) = Some(workspaces);
+    }
+
     /// Lets instances record no new work after the drain limit: for runs in which daemons may be kept
     /// from learning that an instance leaves.
     #[must_use]
@@ -214,10 +223,14 @@
         for (database, service) in extra_routes {
             routes.push(route_json(database, "primary", &format!("svc{service}")));
         }
-        let table = json!({
+        let mut table = json!({
             "version": version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3_000},
         });
+        let workspaces = self.workspaces.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(workspaces) = workspaces {
+            table["tenants"] = workspaces;
+        }
         self.store.put("config", "main", table);
     }
 
