Dispatch queue: which waiting statement an instance gets next, and which is refused at once

Admission control decides in no order today, and a throttled statement is refused after 80 ms at most. The queue orders by transaction, class, objective and workspace, and predicts waits. Not in use yet.

--- a/crates/persimmon-balancing/src/admission.rs
+++ b/crates/persimmon-balancing/src/admission.rs
@@ -19,6 +19,8 @@
 
 use persimmon_types::Time;
 
+use crate::concurrency::{ConcurrencyLimit, Observation, Outcome};
+
 /// Average wait above which the instance counts as congested: a fraction of the tightest latency
 /// objective of clients, so that a transaction of several statements still meets it.
 const WAIT_TARGET_MS: f64 = 30.0;
@@ -149,6 +151,12 @@
         self.share_ms_per_s = daemons.map_or(0.0, |d| slot_ms / d.max(1) as f64);
     }
 
+    /// Whether the daemon's share is so large that it limits its statements in flight.
+    #[must_use]
+    pub fn limits_in_flight(&self) -> bool {
+        self.share_ms_per_s >= LARGE_SHARE_MS_PER_S
+    }
+
     /// Whether work beyond the share is throttled.
     #[must_use]
     pub fn is_throttling(&self) -> bool {
@@ -173,7 +181,7 @@
         draw: f64,
     ) -> Admission {
         self.advance(now);
-        if self.share_ms_per_s >= LARGE_SHARE_MS_PER_S {
+        if self.limits_in_flight() {
             return self.admit_by_in_flight(priority, in_flight, draw);
         }
         if !self.is_throttling() || self.budget_ms > 0.0 {
@@ -247,3 +255,24 @@
             .min(self.share_ms_per_s * MAX_BURST.as_secs_f64());
     }
 }
+
+/// The limit by the observed wait.
+impl ConcurrencyLimit for AdmissionController {
+    fn limit(&self, now: Time) -> f64 {
+        let mut advanced = self.clone();
+        advanced.advance(now);
+        advanced.in_flight_limit
+    }
+
+    fn record(&mut self, now: Time, observation: &Observation) {
+        match observation.outcome {
+            Outcome::Served | Outcome::Failed => {
+                let took_ms = observation.took.as_secs_f64() * 1_000.0;
+                self.record_wait(now, took_ms - observation.expected.as_secs_f64() * 1_000.0);
+            }
+            Outcome::Rejected => self.record_rejection(now),
+            // The instance or the path to it may have failed, which is no evidence of a wait.
+            Outcome::Unanswered => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-balancing/src/dispatch/order.rs
@@ -0,0 +1,87 @@
+//! The order of the statements of one class.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use persimmon_types::Time;
+
+use super::QueueEntry;
+
+/// Slot time that a workspace may use before others have their turn, in milliseconds. Below it the
+/// slack decides, so that workspaces of the same use do not make urgent statements wait.
+const TURN_MS: f64 = 40.0;
+
+/// Bounds of the weight of a workspace.
+const MIN_WEIGHT: f64 = 0.05;
+const MAX_WEIGHT: f64 = 20.0;
+
+/// The slot time that workspaces used, relative to their weight, while statements waited.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Turns {
+    used_ms: HashMap<Option<Arc<str>>, f64>,
+    /// What the workspace served last had used. A workspace that has not waited begins here, so
+    /// that it can neither save its share nor be charged for earlier use.
+    began_ms: f64,
+}
+
+impl Turns {
+    /// The use at which a workspace's next statement begins.
+    fn start_ms(&self, workspace: &Option<Arc<str>>) -> f64 {
+        self.used_ms.get(workspace).copied().unwrap_or(0.0).max(self.began_ms)
+    }
+
+    /// Charges a dispatched statement to its workspace.
+    pub(super) fn charge(&mut self, entry: &QueueEntry) {
+        let start_ms = self.start_ms(&entry.workspace);
+        self.used_ms.insert(entry.workspace.clone(), start_ms + weighted_ms(entry));
+        self.began_ms = self.began_ms.max((start_ms / TURN_MS).floor() * TURN_MS);
+        let began_ms = self.began_ms;
+        self.used_ms.retain(|_, used_ms| *used_ms > began_ms);
+    }
+}
+
+/// Indices of the entries of one class in the order in which they are served: those that can still
+/// meet their objective, then the others; each by the turns of the workspaces, then by slack.
+pub(super) fn order(now: Time, entries: &[&QueueEntry], turns: &Turns) -> Vec<usize> {
+    let mut by_slack: Vec<usize> = (0..entries.len()).collect();
+    by_slack.sort_by_key(|index| {
+        let entry = entries[*index];
+        let is_late = is_late(now, entry);
+        let by = if is_late { entry.deadline } else { entry.objective_at };
+        (is_late, latest_start_us(by, entry.cost))
+    });
+    let mut used_ms: HashMap<&Option<Arc<str>>, f64> = HashMap::new();
+    let mut turn_of = vec![0.0; entries.len()];
+    for index in &by_slack {
+        let entry = entries[*index];
+        let used =
+            used_ms.entry(&entry.workspace).or_insert_with(|| turns.start_ms(&entry.workspace));
+        turn_of[*index] = (*used / TURN_MS).floor();
+        *used += weighted_ms(entry);
+    }
+    // The sort is stable, so that equal turns stay in the order of slack.
+    by_slack.sort_by(|a, b| {
+        let (a_is_late, b_is_late) = (is_late(now, entries[*a]), is_late(now, entries[*b]));
+        a_is_late.cmp(&b_is_late).then(turn_of[*a].total_cmp(&turn_of[*b]))
+    });
+    by_slack
+}
+
+/// Whether a statement misses its objective even if it is sent now.
+fn is_late(now: Time, entry: &QueueEntry) -> bool {
+    now + entry.cost > entry.objective_at
+}
+
+fn latest_start_us(by: Time, cost: Duration) -> i128 {
+    i128::from(by.as_micros()) - i128::try_from(cost.as_micros()).unwrap_or(i128::MAX)
+}
+
+fn weighted_ms(entry: &QueueEntry) -> f64 {
+    let weight = if entry.weight.is_finite() { entry.weight } else { 1.0 };
+    milliseconds(entry.cost) / weight.clamp(MIN_WEIGHT, MAX_WEIGHT)
+}
+
+pub(super) fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod admission;
 mod concurrency;
+mod connection_order;
+mod dispatch;
 mod freshness;
 mod handshakes;
 mod idle_connections;
@@ -17,6 +19,11 @@
 
 pub use admission::{Admission, AdmissionController};
 pub use concurrency::{ConcurrencyLimit, Observation, Outcome};
+pub use connection_order::{ConnectionRank, ConnectionWaiters, WaiterId};
+pub use dispatch::{
+    DispatchQueue, Dispatched, Forecast, Offer, QueueClass, QueueEntry, QueueRefusal,
+    QueueRefusalReason, Ticket,
+};
 pub use freshness::{PositionSample, PositionSamples};
 pub use handshakes::{ConnectionCounts, ConnectionLimits, HandshakeLimiter};
 pub use idle_connections::IdleConnectionPolicy;
