--- a/crates/persimmon-balancing/src/connection_order.rs
+++ b/crates/persimmon-balancing/src/connection_order.rs
@@ -71,6 +71,12 @@
         self.waiters.retain(|waiter| waiter.id != id);
     }
 
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
     /// Whether a waiter may take one of `available` connections that it can use: fewer than that
     /// many waiters for the same workspace come before it.
     #[must_use]
--- a/crates/persimmon-balancing/src/dispatch.rs
+++ b/crates/persimmon-balancing/src/dispatch.rs
@@ -25,8 +25,8 @@
 pub use classes::QueueClass;
 
 use classes::{Class, GUARANTEED_SHARE, MAX_GUARANTEED_TOTAL, next_class};
-use order::milliseconds;
-use service_rate::{ServiceRate, Slowdown};
+use order::{Pace, milliseconds};
+use service_rate::{Delay, ServiceRate};
 
 /// Default bound of the queue's length: what four slots complete of statements of 15 ms within the
 /// longest deadline of an urgent class, 0.8 s, rounded up.
@@ -59,6 +59,8 @@
     pub deadline: Time,
     /// Its expected slot time.
     pub cost: Duration,
+    /// Number of statements that its transaction is expected to run after it.
+    pub later_statements: u32,
     /// The workspace that it belongs to, if any.
     pub workspace: Option<Arc<str>>,
     /// The share of the workspace relative to that of others; 1 for equal shares.
@@ -140,7 +142,7 @@
     classes: BTreeMap<QueueClass, Class>,
     /// The rate at which all waiting statements are served.
     rate: ServiceRate,
-    slowdown: Slowdown,
+    delay: Delay,
     /// Slot time that the instance serves in a unit of time, before any was observed.
     capacity: f64,
     last_ticket: u64,
@@ -154,7 +156,7 @@
         Self {
             classes: BTreeMap::new(),
             rate: ServiceRate::default(),
-            slowdown: Slowdown::default(),
+            delay: Delay::default(),
             capacity: f64::from(slots.max(1)),
             last_ticket: 0,
             max_waiting: MAX_WAITING,
@@ -188,7 +190,7 @@
 
     /// Records an answer: the expected slot time of the statement and the time that it took.
     pub fn record_answer(&mut self, now: Time, cost: Duration, took: Duration) {
-        self.slowdown.record(now, cost, took);
+        self.delay.record(now, cost, took);
     }
 
     /// Offers a statement that was not admitted at once. The refusals are those of waiting
@@ -236,19 +238,23 @@
         let (same_class, own_ms) = self
             .classes
             .get(&entry.class())
-            .map_or((0, 0.0), |class| class.ahead_of(now, entry));
-        let wait = self.wait(entry.class(), ahead_ms, own_ms);
+            .map_or((0, 0.0), |class| class.ahead_of(self.pace(now), entry));
+        let wait = self.wait(now, entry, ahead_ms, own_ms);
         Forecast { position: position + same_class, wait }
     }
 
     /// Takes the statement that is sent next. The caller has checked that there is room for one.
     pub fn next(&mut self, now: Time) -> Option<Dispatched> {
         self.advance(now);
-        let (key, index) = next_class(now, &mut self.classes)?;
+        let pace = self.pace(now);
+        let (key, index) = next_class(pace, &mut self.classes)?;
         let class = self.classes.get_mut(&key)?;
         let waiting = class.take(index);
         let cost_ms = milliseconds(waiting.entry.cost);
         class.rate.record(cost_ms);
+        if pace.is_late(&waiting.entry, Duration::ZERO) {
+            class.late_rate.record(cost_ms);
+        }
         self.rate.record(cost_ms);
         let waited = now.since(waiting.queued_at);
         Some(Dispatched { ticket: waiting.ticket, waited, entry: waiting.entry })
@@ -269,11 +275,11 @@
         self.advance(now);
         let mut refused = Vec::new();
         let (mut position, mut ahead_ms) = (0, 0.0);
-        for (key, class) in &self.classes {
+        for class in self.classes.values() {
             let mut own_ms = 0.0;
-            for index in class.order(now) {
+            for index in class.order(self.pace(now)) {
                 let waiting = &class.waiting[index];
-                let wait = self.wait(*key, ahead_ms, own_ms);
+                let wait = self.wait(now, &waiting.entry, ahead_ms, own_ms);
                 if self.is_too_late(now, &waiting.entry, wait.mul_f64(QUEUED_WAIT_FACTOR)) {
                     let forecast = Forecast { position, wait };
                     let refusal = refusal(QueueRefusalReason::TooLate, forecast, draw());
@@ -292,21 +298,42 @@
     }
 
     /// Time until `own_ms` of a class and `ahead_ms` of the classes before it are dispatched. The
-    /// rate of the class counts what arrives later in classes before it, and its guaranteed share.
-    fn wait(&self, key: QueueClass, ahead_ms: f64, own_ms: f64) -> Duration {
+    /// rate of the class counts what arrives later in classes before it, and its guaranteed share. A
+    /// statement that misses its objective by then also lets pass those that arrive later in its
+    /// class.
+    fn wait(&self, now: Time, entry: &QueueEntry, ahead_ms: f64, own_ms: f64) -> Duration {
+        let key = entry.class();
         let total = self.rate.per_ms(self.capacity);
         let by_total = (ahead_ms + own_ms) / total;
         let guaranteed = match key {
             QueueClass::Open => 1.0,
-            QueueClass::Priority(_) => GUARANTEED_SHARE,
+            QueueClass::Priority(_) => guaranteed_share(self.classes.len()),
         };
         let own = self.classes.get(&key).map_or(total, |class| class.rate.per_ms(total));
         let by_class = own_ms / own.max(total * guaranteed);
-        Duration::from_secs_f64(by_total.max(by_class) / 1_000.0)
+        let wait = Duration::from_secs_f64(by_total.max(by_class) / 1_000.0);
+        let Some(class) = self.classes.get(&key) else {
+            return wait;
+        };
+        let pace = self.pace(now);
+        if !pace.is_late(entry, wait) {
+            return wait;
+        }
+        let is_ahead = |w: &&Waiting| {
+            pace.is_late(&w.entry, Duration::ZERO) && w.entry.deadline < entry.deadline
+        };
+        let late = class.waiting.iter().filter(is_ahead);
+        let late_ms: f64 = late.map(|w| milliseconds(w.entry.cost)).sum();
+        let by_late = (late_ms + milliseconds(entry.cost)) / class.late_rate.per_ms(own);
+        wait.max(Duration::from_secs_f64(by_late / 1_000.0))
+    }
+
+    fn pace(&self, now: Time) -> Pace {
+        Pace { now, delay: self.delay.with_allowance(now) }
     }
 
     fn is_too_late(&self, now: Time, entry: &QueueEntry, wait: Duration) -> bool {
-        now + wait + entry.cost.mul_f64(self.slowdown.factor(now)) > entry.deadline
+        now + wait + entry.cost + self.delay.mean(now) > entry.deadline
     }
 
     /// Removes the last statement of the lowest class that exceeds its guaranteed places; returns it
@@ -317,10 +344,11 @@
         let key = self.classes.iter().rev().find(|(_, class)| waits_beyond_places(class));
         let key = key.or_else(|| self.classes.iter().rev().find(|(_, c)| !c.waiting.is_empty()));
         let key = *key?.0;
-        let all_ms = self.classes.values().map(Class::work_ms).sum();
-        let wait = self.wait(key, all_ms, 0.0);
+        let all_ms: f64 = self.classes.values().map(Class::work_ms).sum();
+        let wait = Duration::from_secs_f64(all_ms / self.rate.per_ms(self.capacity) / 1_000.0);
+        let pace = self.pace(now);
         let class = self.classes.get_mut(&key)?;
-        let last = *class.order(now).last()?;
+        let last = *class.order(pace).last()?;
         let ticket = class.waiting[last].ticket;
         class.remove(ticket);
         Some((ticket, wait))
@@ -328,11 +356,14 @@
 
     /// Applies the time since the last call to the observed rates.
     fn advance(&mut self, now: Time) {
+        let pace = self.pace(now);
         let is_busy = !self.is_empty();
         self.rate.advance(now, is_busy);
         for class in self.classes.values_mut() {
             let is_busy = !class.waiting.is_empty();
             class.rate.advance(now, is_busy);
+            let has_late = class.has_late(pace);
+            class.late_rate.advance(now, has_late);
         }
     }
 }
--- a/crates/persimmon-balancing/src/dispatch/classes.rs
+++ b/crates/persimmon-balancing/src/dispatch/classes.rs
@@ -1,10 +1,9 @@
 //! Classes of waiting statements: which one is served next, with a guaranteed minimum for each.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use persimmon_types::Time;
-
-use super::order::{self, Turns, milliseconds};
+use super::order::{self, Pace, Turns, milliseconds};
 use super::service_rate::ServiceRate;
 use super::{QueueEntry, Ticket, Waiting, guaranteed_share};
 
@@ -33,6 +32,8 @@
     pub(super) waiting: Vec<Waiting>,
     /// The rate at which the class is served while it waits.
     pub(super) rate: ServiceRate,
+    /// The rate at which those that miss their objective are served while some wait.
+    pub(super) late_rate: ServiceRate,
     turns: Turns,
     /// Guaranteed slot time that it has not received, in milliseconds.
     credit_ms: f64,
@@ -45,16 +46,21 @@
     }
 
     /// Indices of its statements in the order in which they are served.
-    pub(super) fn order(&self, now: Time) -> Vec<usize> {
+    pub(super) fn order(&self, pace: Pace) -> Vec<usize> {
         let entries: Vec<&QueueEntry> = self.waiting.iter().map(|w| &w.entry).collect();
-        order::order(now, &entries, &self.turns)
+        order::order(pace, &entries, &self.turns)
+    }
+
+    /// Whether a statement waits that misses its objective.
+    pub(super) fn has_late(&self, pace: Pace) -> bool {
+        self.waiting.iter().any(|w| pace.is_late(&w.entry, Duration::ZERO))
     }
 
     /// Number and slot time in milliseconds of the statements that come before a new one.
-    pub(super) fn ahead_of(&self, now: Time, entry: &QueueEntry) -> (usize, f64) {
+    pub(super) fn ahead_of(&self, pace: Pace, entry: &QueueEntry) -> (usize, f64) {
         let mut entries: Vec<&QueueEntry> = self.waiting.iter().map(|w| &w.entry).collect();
         entries.push(entry);
-        let ordered = order::order(now, &entries, &self.turns);
+        let ordered = order::order(pace, &entries, &self.turns);
         let ahead = ordered.iter().take_while(|index| **index != self.waiting.len());
         ahead.fold((0, 0.0), |(count, ms), index| {
             (count + 1, ms + milliseconds(entries[*index].cost))
@@ -88,12 +94,12 @@
 /// The class that is served next and the index of its first statement, charged to the credit of the
 /// class where that decided.
 pub(super) fn next_class(
-    now: Time,
+    pace: Pace,
     classes: &mut BTreeMap<QueueClass, Class>,
 ) -> Option<(QueueClass, usize)> {
     let mut waiting: Vec<(QueueClass, &mut Class, usize, f64)> = Vec::new();
     for (key, class) in classes {
-        let Some(first) = class.order(now).first().copied() else {
+        let Some(first) = class.order(pace).first().copied() else {
             continue;
         };
         let cost_ms = milliseconds(class.waiting[first].entry.cost);
@@ -107,7 +113,8 @@
     let lower = waiting.len() - 1;
     // The lower class that lacks most of its guarantee, relative to its next statement.
     let owed = waiting.iter().enumerate().skip(1).filter(|(_, (_, c, _, ms))| c.credit_ms >= *ms);
-    let owed = owed.max_by(|(_, a), (_, b)| (a.1.credit_ms / a.3).total_cmp(&(b.1.credit_ms / b.3)));
+    let owed =
+        owed.max_by(|(_, a), (_, b)| (a.1.credit_ms / a.3).total_cmp(&(b.1.credit_ms / b.3)));
     let chosen = owed.map_or(0, |(index, _)| index);
     let cost_ms = if chosen == 0 { top_cost_ms } else { waiting[chosen].3 };
     for (_, class, _, _) in waiting.iter_mut().skip(1) {
--- a/crates/persimmon-balancing/src/dispatch/order.rs
+++ b/crates/persimmon-balancing/src/dispatch/order.rs
@@ -41,15 +41,32 @@
     }
 }
 
+/// When a statement that is sent now is answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    pub(super) now: Time,
+    /// Time that a statement takes at the instance beyond its slot time, with an allowance for its
+    /// variation.
+    pub(super) delay: Duration,
+}
+
+impl Pace {
+    /// Whether a statement misses its objective if it is sent after `wait`.
+    pub(super) fn is_late(&self, entry: &QueueEntry, wait: Duration) -> bool {
+        let statements = entry.later_statements.saturating_add(1);
+        self.now + wait + (entry.cost + self.delay) * statements > entry.objective_at
+    }
+}
+
 /// Indices of the entries of one class in the order in which they are served: those that can still
 /// meet their objective, then the others; each by the turns of the workspaces, then by slack.
-pub(super) fn order(now: Time, entries: &[&QueueEntry], turns: &Turns) -> Vec<usize> {
+pub(super) fn order(pace: Pace, entries: &[&QueueEntry], turns: &Turns) -> Vec<usize> {
+    let late: Vec<bool> = entries.iter().map(|e| pace.is_late(e, Duration::ZERO)).collect();
     let mut by_slack: Vec<usize> = (0..entries.len()).collect();
     by_slack.sort_by_key(|index| {
         let entry = entries[*index];
-        let is_late = is_late(now, entry);
-        let by = if is_late { entry.deadline } else { entry.objective_at };
-        (is_late, latest_start_us(by, entry.cost))
+        let by = if late[*index] { entry.deadline } else { entry.objective_at };
+        (late[*index], latest_start_us(by, entry.cost))
     });
     let mut used_ms: HashMap<&Option<Arc<str>>, f64> = HashMap::new();
     let mut turn_of = vec![0.0; entries.len()];
@@ -61,18 +78,10 @@
         *used += weighted_ms(entry);
     }
     // The sort is stable, so that equal turns stay in the order of slack.
-    by_slack.sort_by(|a, b| {
-        let (a_is_late, b_is_late) = (is_late(now, entries[*a]), is_late(now, entries[*b]));
-        a_is_late.cmp(&b_is_late).then(turn_of[*a].total_cmp(&turn_of[*b]))
-    });
+    by_slack.sort_by(|a, b| late[*a].cmp(&late[*b]).then(turn_of[*a].total_cmp(&turn_of[*b])));
     by_slack
 }
 
-/// Whether a statement misses its objective even if it is sent now.
-fn is_late(now: Time, entry: &QueueEntry) -> bool {
-    now + entry.cost > entry.objective_at
-}
-
 fn latest_start_us(by: Time, cost: Duration) -> i128 {
     i128::from(by.as_micros()) - i128::try_from(cost.as_micros()).unwrap_or(i128::MAX)
 }
--- a/crates/persimmon-balancing/src/dispatch/service_rate.rs
+++ b/crates/persimmon-balancing/src/dispatch/service_rate.rs
@@ -1,4 +1,4 @@
-//! The rate at which waiting statements are served, and how much longer they take than expected.
+//! The rate at which waiting statements are served, and how long they take at the instance.
 
 use std::time::Duration;
 
@@ -17,14 +17,17 @@
 /// Lowest rate, in milliseconds of slot time per millisecond.
 const MIN_PER_MS: f64 = 0.01;
 
-/// Weight of a new observation of how much longer a statement took.
-const SLOWDOWN_WEIGHT: f64 = 0.1;
+/// Weight of a new observation in the averages of the delay.
+const DELAY_WEIGHT: f64 = 0.1;
 
-/// Bound of that factor.
-const MAX_SLOWDOWN: f64 = 10.0;
+/// Bound of one observed delay, in milliseconds, because some statements simply run long.
+const MAX_DELAY_MS: f64 = 300.0;
 
-/// Half-life of that factor: without answers, the instance may have recovered.
-const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Half-life of the delay: without answers, the instance may have recovered.
+const DELAY_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Deviations of the delay that are allowed for when a statement is to meet its objective.
+const ALLOWED_DEVIATIONS: f64 = 1.0;
 
 /// Slot time that was dispatched while statements waited.
 #[derive(Clone, Copy, Debug, Default)]
@@ -60,31 +63,38 @@
 }
 
 /// How much longer statements take at the instance than their slot time.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Slowdown {
-    factor: f64,
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Delay {
+    mean_ms: f64,
+    deviation_ms: f64,
     recorded_at: Time,
 }
 
-impl Default for Slowdown {
-    fn default() -> Self {
-        Self { factor: 1.0, recorded_at: Time::ZERO }
+impl Delay {
+    fn decayed(&self, now: Time) -> Self {
+        let half_lives = now.since(self.recorded_at).as_secs_f64() / DELAY_HALF_LIFE.as_secs_f64();
+        let left = 0.5_f64.powf(half_lives.min(60.0));
+        let (mean_ms, deviation_ms) = (self.mean_ms * left, self.deviation_ms * left);
+        Self { mean_ms, deviation_ms, recorded_at: now }
+    }
+
+    /// The mean.
+    pub(super) fn mean(&self, now: Time) -> Duration {
+        Duration::from_secs_f64(self.decayed(now).mean_ms / 1_000.0)
     }
-}
 
-impl Slowdown {
-    /// The factor, at least 1.
-    pub(super) fn factor(&self, now: Time) -> f64 {
-        let half_lives =
-            now.since(self.recorded_at).as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64();
-        1.0 + (self.factor - 1.0) * 0.5_f64.powf(half_lives.min(60.0))
+    /// The mean with an allowance for its variation.
+    pub(super) fn with_allowance(&self, now: Time) -> Duration {
+        let Self { mean_ms, deviation_ms, .. } = self.decayed(now);
+        Duration::from_secs_f64((mean_ms + ALLOWED_DEVIATIONS * deviation_ms) / 1_000.0)
     }
 
     /// Records an answer.
     pub(super) fn record(&mut self, now: Time, cost: Duration, took: Duration) {
-        let observed = took.as_secs_f64() / cost.as_secs_f64().max(0.001);
-        let before = self.factor(now);
-        self.factor = before + SLOWDOWN_WEIGHT * (observed.clamp(1.0, MAX_SLOWDOWN) - before);
-        self.recorded_at = now;
+        *self = self.decayed(now);
+        let observed_ms = took.saturating_sub(cost).as_secs_f64() * 1_000.0;
+        let difference_ms = observed_ms.min(MAX_DELAY_MS) - self.mean_ms;
+        self.mean_ms += DELAY_WEIGHT * difference_ms;
+        self.deviation_ms += DELAY_WEIGHT * (difference_ms.abs() - self.deviation_ms);
     }
 }
--- a/crates/persimmon-proxy/src/connection.rs
+++ b/crates/persimmon-proxy/src/connection.rs
@@ -16,6 +16,7 @@
 use ntex::codec::Decoder;
 use ntex::io::Io;
 use ntex::util::{BytesMut, Either};
+use persimmon_balancing::ConnectionRank;
 use persimmon_interfaces::{
     Access, Command, ErrorCode, Instance, InstanceProtocol, ProtocolError, Reply, TxStatus,
 };
@@ -131,6 +132,8 @@
     pub(crate) shape: Option<&'a Shape>,
     /// The transaction to open.
     pub(crate) begin: Option<Begin>,
+    /// Its rank among the statements that wait for a connection, where they wait in order.
+    pub(crate) rank: Option<ConnectionRank>,
 }
 
 /// How a transaction is opened.
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -10,10 +10,11 @@
     choose_instance,
 };
 use persimmon_interfaces::{ErrorCode, Freshness, Instance, TxStatus};
-use persimmon_types::{Clock, Time};
+use persimmon_types::{Clock, Position, Time};
 use rand::Rng;
 
-use crate::connection::Answer;
+use crate::connection::{Answer, DesiredState};
+use crate::dispatcher::{Grant, Turn};
 use crate::metrics::Metrics;
 use crate::pool::PooledConnection;
 use crate::round_trip::InFlight;
@@ -47,13 +48,33 @@
     ) -> Execution {
         let mut execution = Execution::new(mode);
         let mut tried: Vec<Arc<str>> = Vec::new();
+        // Instances that could run a read, if they had room.
+        let mut full = FullInstances::default();
         loop {
-            let selected = self.select_instance(job, &mut execution, &tried).await;
-            let Some(instance) = selected else {
+            let selected = self.select_instance(job, &mut execution, &tried, &full).await;
+            if selected.is_none() && full.instances.is_empty() {
                 execution.failure = Some(failure_text(&AttemptFailure::NotSent));
                 return execution.refused(ErrorCode::Busy);
+            }
+            let (instance, grant) = match selected {
+                Some(instance) if !self.is_ordered(&instance) => (instance, None),
+                selected => match self.take_turn(job, selected, &mut full, &mut execution).await {
+                    Some(Turn::Granted(instance, grant)) => (instance, Some(grant)),
+                    Some(Turn::Refused) => return execution.refused(ErrorCode::Busy),
+                    Some(Turn::Unavailable) => {
+                        tried.clear();
+                        continue;
+                    }
+                    None => {
+                        tried.extend(full.instances.last().map(|i| Arc::clone(&i.id)));
+                        continue;
+                    }
+                },
             };
-            if let Admission::RetryAfter(retry_after) = self.admit(job, &instance, &mut execution) {
+            if grant.is_none()
+                && let Admission::RetryAfter(retry_after) =
+                    self.admit(job, &instance, &mut execution)
+            {
                 tried.push(Arc::clone(&instance.id));
                 if !execution.mode.needs_primary() {
                     continue;
@@ -71,7 +92,7 @@
             execution.instance = Some(Arc::clone(&instance.id));
             execution.directory_age = self.directory_age();
             let requested_at = Clock.now();
-            let failure = match self.attempt(job, &mut execution, &instance).await {
+            let failure = match self.attempt(job, &mut execution, &instance, grant).await {
                 Ok((connection, answer)) => match answer.code() {
                     Some(code) if code.is_not_run() => {
                         self.rollback_if_open(connection).await;
@@ -93,6 +114,9 @@
                 },
                 Err(failure) => failure,
             };
+            // They may have room by now.
+            tried.retain(|id| full.instances.iter().all(|i| i.id != *id));
+            full = FullInstances::default();
             self.record_failure(&instance, &failure);
             // A statement that has waited for a connection for its whole latency target is refused
             // while the client can still retry at another daemon.
@@ -123,6 +147,34 @@
         }
     }
 
+    /// Takes the turn of a statement at the selected instance. A read that finds no room there first
+    /// tries the other instances (`None`), and waits for all of them once none is left to select.
+    async fn take_turn(
+        self: &Rc<Self>,
+        job: &StatementJob<'_>,
+        selected: Option<Arc<Instance>>,
+        full: &mut FullInstances,
+        execution: &mut Execution,
+    ) -> Option<Turn> {
+        if let Some(instance) = selected {
+            if let Some(grant) = self.grant_at_once(&instance) {
+                return Some(Turn::Granted(instance, grant));
+            }
+            execution.instance = Some(Arc::clone(&instance.id));
+            execution.congestion_ms =
+                Some(self.pool.admission(&instance.id, |controller| controller.wait_ms()));
+            if execution.mode.needs_primary() {
+                return Some(self.wait_for_turn(job, &[instance], true, execution).await);
+            }
+            full.after = execution.after;
+            full.instances.push(instance);
+            return None;
+        }
+        let FullInstances { instances, after } = std::mem::take(full);
+        execution.after = after;
+        Some(self.wait_for_turn(job, &instances, false, execution).await)
+    }
+
     /// Whether admission control lets a new statement go to an instance.
     fn admit(
         &self,
@@ -182,6 +234,7 @@
         job: &StatementJob<'_>,
         execution: &mut Execution,
         tried: &[Arc<str>],
+        full: &FullInstances,
     ) -> Option<Arc<Instance>> {
         let service = &job.route.service;
         let max_age = job.route.freshness.max_age();
@@ -228,6 +281,9 @@
             execution.after = Some(min_position);
             return Some(Arc::clone(&listed[index].instance));
         }
+        if !full.instances.is_empty() {
+            return None;
+        }
         // No replica is known to be fresh enough; the primary always is.
         execution.mode = execution.mode.on_primary();
         execution.after = None;
@@ -239,9 +295,15 @@
         job: &StatementJob<'_>,
         execution: &mut Execution,
         instance: &Arc<Instance>,
+        grant: Option<Grant>,
     ) -> Result<(PooledConnection, Answer), AttemptFailure> {
         let _in_flight = InFlight::new(self, &instance.id);
-        let desired = job.desired_state();
+        let desired = DesiredState {
+            rank: grant.as_ref().map(|_| job.connection_rank()),
+            ..job.desired_state()
+        };
+        // It is counted as in flight from here on.
+        drop(grant);
         let began = Clock.now();
         let opened = self.ready_connection(job, execution, instance, desired).await;
         execution.connection_wait += Clock.now().since(began);
@@ -267,6 +329,13 @@
     }
 }
 
+/// Instances that have no room for a read, and the minimum position that it requires of them.
+#[derive(Debug, Default)]
+struct FullInstances {
+    instances: Vec<Arc<Instance>>,
+    after: Option<Position>,
+}
+
 /// The text of a failure in log lines.
 fn failure_text(failure: &AttemptFailure) -> Arc<str> {
     Arc::from(format!("{failure:?}"))
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -182,6 +182,8 @@
             code = code.map(|c: ErrorCode| format!("{c:?}")),
             ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             congestion_ms = execution.congestion_ms.map(f64::round),
+            queue = execution.queue.map(|q| format!("{:?}", q.decision)),
+            queue_position = execution.queue.map(|q| q.position),
             "forwarded statement"
         );
     }
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -9,7 +9,9 @@
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::TcpStream;
 
-use crate::forwarding::wire::{WireAnswer, WireCode, WireFailure, WireMode, WireStatement};
+use crate::forwarding::wire::{
+    WireAnswer, WireCode, WireFailure, WireMode, WireQueueReport, WireStatement,
+};
 use crate::socket;
 
 /// Maximum message size in bytes: a client's message and its answer, each at most 1 MiB, with what
@@ -48,6 +50,8 @@
     pub(crate) after: Option<persimmon_types::Position>,
     pub(crate) failure: Option<Arc<str>>,
     pub(crate) congestion_ms: Option<f64>,
+    #[serde(default)]
+    pub(crate) queue: Option<WireQueueReport>,
     pub(crate) retry_after_us: u64,
     pub(crate) min_position_wait_us: u64,
     pub(crate) connection_wait_us: u64,
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -16,7 +16,9 @@
 
 use crate::connection::{Answer, Shape};
 use crate::forwarding::service::{ContinueReply, ExecuteReply};
-use crate::statement_job::{Caller, Execution, ExecutionMode, StatementJob};
+use crate::statement_job::{
+    Caller, Execution, ExecutionMode, QueueDecision, QueueReport, StatementJob,
+};
 use crate::transaction::TransactionStep;
 
 /// Microseconds of a duration, for the wire.
@@ -345,6 +347,61 @@
     }
 }
 
+/// [`QueueDecision`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum WireQueueDecision {
+    Dispatched,
+    TooLate,
+    QueueFull,
+    InstanceUnavailable,
+}
+
+/// [`QueueReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct WireQueueReport {
+    priority: u8,
+    position: u32,
+    predicted_us: u64,
+    waited_us: u64,
+    decision: WireQueueDecision,
+}
+
+impl From<QueueReport> for WireQueueReport {
+    fn from(report: QueueReport) -> Self {
+        let decision = match report.decision {
+            QueueDecision::Dispatched => WireQueueDecision::Dispatched,
+            QueueDecision::TooLate => WireQueueDecision::TooLate,
+            QueueDecision::QueueFull => WireQueueDecision::QueueFull,
+            QueueDecision::InstanceUnavailable => WireQueueDecision::InstanceUnavailable,
+        };
+        Self {
+            priority: report.priority,
+            position: report.position,
+            predicted_us: micros(report.predicted_wait),
+            waited_us: micros(report.waited),
+            decision,
+        }
+    }
+}
+
+impl From<WireQueueReport> for QueueReport {
+    fn from(wire: WireQueueReport) -> Self {
+        let decision = match wire.decision {
+            WireQueueDecision::Dispatched => QueueDecision::Dispatched,
+            WireQueueDecision::TooLate => QueueDecision::TooLate,
+            WireQueueDecision::QueueFull => QueueDecision::QueueFull,
+            WireQueueDecision::InstanceUnavailable => QueueDecision::InstanceUnavailable,
+        };
+        Self {
+            priority: wire.priority,
+            position: wire.position,
+            predicted_wait: Duration::from_micros(wire.predicted_us),
+            waited: Duration::from_micros(wire.waited_us),
+            decision,
+        }
+    }
+}
+
 impl From<Execution> for ExecuteReply {
     fn from(execution: Execution) -> Self {
         Self {
@@ -356,6 +413,7 @@
             after: execution.after,
             failure: execution.failure,
             congestion_ms: execution.congestion_ms,
+            queue: execution.queue.map(WireQueueReport::from),
             retry_after_us: micros(execution.retry_after),
             min_position_wait_us: micros(execution.min_position_wait),
             connection_wait_us: micros(execution.connection_wait),
@@ -378,6 +436,7 @@
         execution.after = reply.after;
         execution.failure = reply.failure;
         execution.congestion_ms = reply.congestion_ms;
+        execution.queue = reply.queue.map(QueueReport::from);
         execution.retry_after = Duration::from_micros(reply.retry_after_us);
         execution.min_position_wait = Duration::from_micros(reply.min_position_wait_us);
         execution.connection_wait = Duration::from_micros(reply.connection_wait_us);
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -13,8 +13,11 @@
 mod active_table;
 mod adapter;
 mod connection;
+mod connection_waiter;
 mod control;
 mod directory;
+mod dispatch_metrics;
+mod dispatcher;
 mod drain;
 mod drain_notices;
 mod execute;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::dispatch_metrics::DispatchMetrics;
+
 /// Upper bounds of the latency buckets, in milliseconds: from the overhead of the proxy to the
 /// longest client deadline.
 const BUCKETS_MS: [u64; 12] = [1, 2, 5, 10, 25, 50, 100, 200, 400, 1_000, 2_000, 8_000];
@@ -25,7 +27,7 @@
         self.sum_us.fetch_add(us, Ordering::Relaxed);
     }
 
-    fn render(&self, name: &str, out: &mut String) {
+    pub(crate) fn render(&self, name: &str, out: &mut String) {
         let mut total = 0;
         // Writing to a string cannot fail.
         let _ = writeln!(out, "# TYPE {name}_seconds histogram");
@@ -54,6 +56,8 @@
             pub table_age_ms: AtomicU64,
             /// Bytes of the values and prepared statements of all sessions.
             pub session_state_bytes: AtomicU64,
+            /// Statements that wait for room at an instance.
+            pub dispatch: DispatchMetrics,
             $($(#[$doc])* pub $name: AtomicU64,)*
         }
 
@@ -145,6 +149,7 @@
             let _ = writeln!(out, "# TYPE persimmon_{name} gauge\npersimmon_{name} {value}");
         }
         self.statement.render("persimmon_statement", &mut out);
+        self.dispatch.render(&mut out);
         out
     }
 }
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use persimmon_balancing::{
-    AdmissionController, ConnectionCounts, ConnectionLimits, HandshakeLimiter,
+    AdmissionController, ConnectionCounts, ConnectionLimits, ConnectionWaiters, HandshakeLimiter,
     IdleConnectionPolicy, InstanceLoad,
 };
 use persimmon_interfaces::{ErrorCode, Instance, InstanceProtocol};
@@ -19,6 +19,7 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::connection::{BackendConnection, ConnectionError, ConnectionUser, DesiredState};
+use crate::connection_waiter::ConnectionWaiter;
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 
@@ -73,6 +74,8 @@
     /// Why the latest attempt failed.
     last_failure: Option<Unavailable>,
     released: Rc<Notify>,
+    /// Statements that wait for a connection in order.
+    waiters: Rc<RefCell<ConnectionWaiters>>,
 }
 
 /// The connection pool of one thread.
@@ -191,7 +194,41 @@
         if backend.is_idle() && !backend.has_large_state() {
             entry.idle.push(backend);
         }
-        entry.released.notify_one();
+        if entry.waiters.borrow().is_empty() {
+            entry.released.notify_one();
+        } else {
+            // Each of them checks whether it is its turn.
+            entry.released.notify_waiters();
+        }
+    }
+
+    /// Adds a statement to those that wait for a connection, if they wait in order.
+    fn wait_in_order(
+        &self,
+        instance: &Instance,
+        desired: &DesiredState<'_>,
+    ) -> Option<ConnectionWaiter> {
+        let rank = desired.rank?;
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.entry(Arc::clone(&instance.id)).or_default();
+        let (waiters, released) = (Rc::clone(&entry.waiters), Rc::clone(&entry.released));
+        Some(ConnectionWaiter::new(waiters, released, rank, desired.user.workspace()))
+    }
+
+    /// Whether a statement may take an idle connection now, as far as the order decides.
+    fn is_its_turn(
+        &self,
+        id: &Arc<str>,
+        desired: &DesiredState<'_>,
+        waiter: Option<&ConnectionWaiter>,
+    ) -> bool {
+        let Some(waiter) = waiter else {
+            return true;
+        };
+        let entries = self.entries.borrow();
+        let idle = entries.get(id).map_or(&[][..], |entry| &entry.idle);
+        let is_usable = |b: &&BackendConnection| b.is_idle() && desired.user.accepts(b.workspace());
+        waiter.may_take(idle.iter().filter(is_usable).count())
     }
 
     /// Takes an idle connection of the desired user, preferring one that already has the desired
@@ -256,8 +293,11 @@
         deadline: Time,
     ) -> Result<PooledConnection, Unavailable> {
         let mut failures_before = None;
+        let waiter = self.wait_in_order(instance, desired);
         loop {
-            if let Some(backend) = self.take_idle(instance, desired) {
+            if self.is_its_turn(&instance.id, desired, waiter.as_ref())
+                && let Some(backend) = self.take_idle(instance, desired)
+            {
                 let pool = Rc::clone(self);
                 let instance = Arc::clone(instance);
                 return Ok(PooledConnection {
--- a/crates/persimmon-proxy/src/round_trip.rs
+++ b/crates/persimmon-proxy/src/round_trip.rs
@@ -1,6 +1,7 @@
 //! One round trip to an instance: preparing a connection for the session, sending the statement,
 //! receiving the answer, and recording what it shows about the instance.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,12 +18,12 @@
 /// Counts a statement as in flight at an instance, including while it waits for a connection, so
 /// that later statements prefer a free instance.
 pub(crate) struct InFlight<'a> {
-    worker: &'a Worker,
+    worker: &'a Rc<Worker>,
     instance: &'a Arc<str>,
 }
 
 impl<'a> InFlight<'a> {
-    pub(crate) fn new(worker: &'a Worker, instance: &'a Arc<str>) -> Self {
+    pub(crate) fn new(worker: &'a Rc<Worker>, instance: &'a Arc<str>) -> Self {
         worker.pool.load(instance, |load| load.in_flight += 1);
         Self { worker, instance }
     }
@@ -33,6 +34,7 @@
         self.worker
             .pool
             .load(self.instance, |load| load.in_flight = load.in_flight.saturating_sub(1));
+        self.worker.send_next(self.instance);
     }
 }
 
@@ -190,6 +192,9 @@
             }
             !controller.is_throttling()
         });
+        if has_run {
+            self.dispatcher.record_answer(&instance.id, baseline_ms, took);
+        }
         if answer.code().is_none() {
             let mut baselines = self.latency_baselines.borrow_mut();
             let baseline = baselines.entry(Arc::clone(&job.route.database)).or_default();
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -274,6 +274,11 @@
             connection_ms = whole_ms(execution.connection_wait),
             directory_ms = execution.directory_age.map(whole_ms),
             congestion_ms = execution.congestion_ms.map(f64::round),
+            queue = execution.queue.map(|q| format!("{:?}", q.decision)),
+            queue_class = execution.queue.map(|q| q.priority),
+            queue_position = execution.queue.map(|q| q.position),
+            queue_predicted_ms = execution.queue.map(|q| whole_ms(q.predicted_wait)),
+            queue_ms = execution.queue.map(|q| whole_ms(q.waited)),
             outcome, "request"
         );
     }
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_balancing::{AttemptKind, final_error_code};
+use persimmon_balancing::{AttemptKind, ConnectionRank, final_error_code};
 use persimmon_interfaces::{Access, ErrorCode, Query, Route, Statement};
 use persimmon_types::{Position, Time};
 use persimmon_workspace::ClientKey;
@@ -103,9 +103,21 @@
             variables: Some(self.variables),
             shape: self.shape,
             begin: None,
+            rank: None,
         }
     }
 
+    /// Until when its answer meets the objective of the route, which counts from the start of its
+    /// transaction.
+    pub(crate) fn objective_at(&self) -> Time {
+        self.fresh_as_of + self.route.target
+    }
+
+    /// Its rank among the statements that wait for a connection.
+    pub(crate) fn connection_rank(&self) -> ConnectionRank {
+        ConnectionRank { priority: self.route.priority, objective_at: self.objective_at() }
+    }
+
     /// Time until which the statement waits for a connection: at most its latency target, so that a
     /// client that is refused can still retry at another daemon.
     pub(crate) fn connection_deadline(&self, now: Time) -> Time {
@@ -113,6 +125,35 @@
     }
 }
 
+/// What the queue of an instance decided about a statement. The names of the variants appear in log
+/// lines and stay the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueueDecision {
+    /// It was sent when there was room.
+    Dispatched,
+    /// It was refused: its answer would have come after its deadline.
+    TooLate,
+    /// It was refused: the queue was full, and others came before it.
+    QueueFull,
+    /// It selected another instance, because this one could not run it any more.
+    InstanceUnavailable,
+}
+
+/// How a statement waited for room at an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QueueReport {
+    /// Its class: the priority of its route.
+    pub(crate) priority: u8,
+    /// Number of statements ahead of it.
+    pub(crate) position: u32,
+    /// Its predicted wait.
+    pub(crate) predicted_wait: Duration,
+    /// How long it waited.
+    pub(crate) waited: Duration,
+    /// What was decided last.
+    pub(crate) decision: QueueDecision,
+}
+
 /// Outcome of a statement, with the details that its log line reports.
 pub(crate) struct Execution {
     /// The instance's answer, or the code with which the proxy refuses the statement.
@@ -136,6 +177,8 @@
     /// Average wait of recent statements at the instance to which admission control did not admit
     /// this one, in milliseconds.
     pub(crate) congestion_ms: Option<f64>,
+    /// How it waited for room at an instance, if it did.
+    pub(crate) queue: Option<QueueReport>,
     /// Whether a sent attempt got no answer, so that it may have run.
     pub(crate) was_lost: bool,
     /// Whether it has waited for admission.
@@ -164,6 +207,7 @@
             after: None,
             failure: None,
             congestion_ms: None,
+            queue: None,
             was_lost: false,
             was_throttled: false,
             retry_after: RETRY_AFTER,
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::dispatcher::Dispatcher;
 use crate::drain::ShutdownSchedule;
 use crate::forwarding::{HeldCount, Links};
 use crate::logging::LogBudget;
@@ -76,6 +77,8 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) client_protocol: Arc<dyn ClientProtocol>,
     pub(crate) pool: Rc<Pool>,
+    /// Statements that wait for room at an instance.
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) primary_states: RefCell<HashMap<Arc<str>, PrimaryState>>,
     /// Latency baseline of each route's statements.
     pub(crate) latency_baselines: RefCell<HashMap<Arc<str>, LatencyBaseline>>,
@@ -126,6 +129,7 @@
                 Arc::clone(&parts.metrics),
                 Arc::clone(&parts.peers),
             )),
+            dispatcher: Dispatcher::default(),
             peers: parts.peers,
             samples: parts.samples,
             samplers: SamplerClients::default(),
