--- a/crates/persimmon-balancing/src/dispatch.rs
+++ b/crates/persimmon-balancing/src/dispatch.rs
@@ -44,6 +44,29 @@
 const MIN_RETRY_SPREAD: Duration = Duration::from_millis(100);
 const MAX_RETRY_SPREAD: Duration = Duration::from_millis(900);
 
+/// Statements in flight from one daemon for each slot of an instance: one that runs and one that
+/// waits there, so that a slot is never idle while an answer is on its way.
+const MAX_IN_FLIGHT_PER_SLOT: f64 = 2.0;
+
+/// The same while statements wait at the instance, where they wait in order of arrival: the waits of
+/// a few statements of a transaction add up to the tightest objective.
+const MAX_IN_FLIGHT_PER_SLOT_CONGESTED: f64 = 1.0;
+
+/// Average wait at the instance above which the lower bound applies.
+const CONGESTED_WAIT_MS: f64 = 10.0;
+
+/// Bounds a limit of statements in flight, so that statements wait in order in the queue and not in
+/// order of arrival at the instance. `wait_ms` is their average wait there, in milliseconds.
+#[must_use]
+pub fn bounded_limit(limit: f64, slots: u32, wait_ms: f64) -> f64 {
+    let per_slot = if wait_ms < CONGESTED_WAIT_MS {
+        MAX_IN_FLIGHT_PER_SLOT
+    } else {
+        MAX_IN_FLIGHT_PER_SLOT_CONGESTED
+    };
+    limit.min(f64::from(slots) * per_slot).max(1.0)
+}
+
 /// A statement that asks for room.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QueueEntry {
--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -22,7 +22,7 @@
 pub use connection_order::{ConnectionRank, ConnectionWaiters, WaiterId};
 pub use dispatch::{
     DispatchQueue, Dispatched, Forecast, Offer, QueueClass, QueueEntry, QueueRefusal,
-    QueueRefusalReason, Ticket,
+    QueueRefusalReason, Ticket, bounded_limit,
 };
 pub use freshness::{PositionSample, PositionSamples};
 pub use handshakes::{ConnectionCounts, ConnectionLimits, HandshakeLimiter};
--- a/crates/persimmon-balancing/tests/dispatch.rs
+++ b/crates/persimmon-balancing/tests/dispatch.rs
@@ -76,7 +76,15 @@
 
 fn load(classes: Vec<Class>, utilization: f64) -> Load {
     let factors = vec![1.0; classes.len()];
-    Load { classes, workspaces: vec![(1.0, 1.0)], utilization, factors, seconds: 20, returning: 0 }
+    Load {
+        classes,
+        workspaces: vec![(1.0, 1.0)],
+        utilization,
+        factors,
+        seconds: 20,
+        returning: 0,
+        owners: 3,
+    }
 }
 
 fn compare(name: &str, load: &Load) -> (Report, Report) {
@@ -93,6 +101,7 @@
     for (name, classes) in [("tangaroa", tangaroa()), ("shikongo", shikongo())] {
         compare(&format!("{name} calm"), &load(classes.clone(), 0.6));
         compare(&format!("{name} 1.4"), &load(classes.clone(), 1.4));
+        compare(&format!("{name} one owner"), &Load { owners: 1, ..load(classes.clone(), 1.0) });
         for index in 0..3 {
             let mut burst = load(classes.clone(), 0.8);
             burst.factors[index] = 2.5;
--- a/crates/persimmon-balancing/tests/load/mod.rs
+++ b/crates/persimmon-balancing/tests/load/mod.rs
@@ -16,15 +16,15 @@
 use instance::Instance;
 use owner::Owner;
 
-/// Daemons that send the work of an instance, one in each failure domain.
-const OWNERS: usize = 3;
-
 /// Statements of a transaction.
 const STATEMENTS: u32 = 3;
 
 /// Time from an answer to the next statement of the transaction, or from a client to a daemon.
 const ROUND_TRIP_US: u64 = 6_000;
 
+/// Time from the instance to an owner, with the time in which the owner processes the answer.
+const HOP_US: u64 = 2_000;
+
 /// How often a client sends an operation again after it was refused.
 const MAX_RETRIES: u32 = 2;
 
@@ -67,6 +67,8 @@
     pub seconds: u64,
     /// Operations that arrive within the first 100 ms, while no connection is open.
     pub returning: usize,
+    /// Daemons that send the work of the instance.
+    pub owners: usize,
 }
 
 /// What became of operations.
@@ -153,11 +155,17 @@
     Again(usize),
     /// The next statement of a transaction arrives.
     Continue(usize),
-    /// The instance completes a statement, or a handshake of an owner.
+    /// The instance completes a statement.
     Done {
         id: usize,
         sent: u64,
     },
+    /// The answer reaches the owner.
+    Answered {
+        id: usize,
+        sent: u64,
+    },
+    /// The instance completes a handshake of an owner.
     Connected {
         owner: usize,
     },
@@ -208,7 +216,7 @@
             workspace_names: names.collect(),
             load: load.clone(),
             operations: Vec::new(),
-            owners: (0..OWNERS).map(|_| Owner::new(open, OWNERS)).collect(),
+            owners: (0..load.owners).map(|_| Owner::new(open, load.owners)).collect(),
             instance: Instance::default(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -284,7 +292,7 @@
     fn handle(&mut self, now: u64, event: Event) {
         match event {
             Event::Arrive(id) => {
-                let owner = self.rng.random_range(0..OWNERS);
+                let owner = self.rng.random_range(0..self.load.owners);
                 let operation = &mut self.operations[id];
                 operation.owner = owner;
                 operation.arrived = now;
@@ -296,7 +304,11 @@
                 self.operations[id].arrived = now;
                 self.send(now, id);
             }
-            Event::Done { id, sent } => self.done(now, id, sent),
+            Event::Done { id, sent } => {
+                self.free_slot(now);
+                self.push(now + HOP_US, Event::Answered { id, sent });
+            }
+            Event::Answered { id, sent } => self.answered(now, id, sent),
             Event::Connected { owner } => self.connected(now, owner),
             Event::Check { owner } => self.check(now, owner),
         }
--- a/crates/persimmon-balancing/tests/load/owner.rs
+++ b/crates/persimmon-balancing/tests/load/owner.rs
@@ -5,7 +5,7 @@
 
 use persimmon_balancing::{
     Admission, AdmissionController, ConcurrencyLimit, ConnectionRank, ConnectionWaiters,
-    DispatchQueue, Offer, QueueEntry, Ticket, WaiterId,
+    DispatchQueue, Offer, QueueEntry, Ticket, WaiterId, bounded_limit,
 };
 use rand::Rng;
 
@@ -15,9 +15,6 @@
 /// Connections of one owner to an instance: a third of half of the connection limit.
 pub const MAX_CONNECTIONS: usize = 18;
 
-/// Statements in flight for each slot, as in the proxy.
-const MAX_IN_FLIGHT_PER_SLOT: usize = 2;
-
 pub struct Owner {
     controller: AdmissionController,
     in_flight: u32,
@@ -51,8 +48,7 @@
     }
 
     fn limit(&self, now: u64) -> f64 {
-        let most = (SLOTS * MAX_IN_FLIGHT_PER_SLOT) as f64;
-        self.controller.limit(at(now)).clamp(1.0, most)
+        bounded_limit(self.controller.limit(at(now)), SLOTS as u32, self.controller.wait_ms())
     }
 
     fn has_room(&self, now: u64) -> bool {
@@ -263,8 +259,7 @@
         }
     }
 
-    pub(super) fn done(&mut self, now: u64, id: usize, sent: u64) {
-        self.free_slot(now);
+    pub(super) fn answered(&mut self, now: u64, id: usize, sent: u64) {
         let deadline = self.deadline(id);
         let operation = &mut self.operations[id];
         let index = operation.owner;
--- a/crates/persimmon-proxy/src/dispatcher.rs
+++ b/crates/persimmon-proxy/src/dispatcher.rs
@@ -17,7 +17,7 @@
 
 use persimmon_balancing::{
     ConcurrencyLimit, DispatchQueue, Dispatched, Forecast, Offer, QueueEntry, QueueRefusal,
-    QueueRefusalReason, Ticket,
+    QueueRefusalReason, Ticket, bounded_limit,
 };
 use persimmon_interfaces::{Instance, Table};
 use persimmon_types::Clock;
@@ -31,10 +31,6 @@
 /// How often queues are checked for statements that became hopeless and for changed limits.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Statements in flight from one daemon for each slot of an instance. One runs and one waits at the
-/// instance, so that a slot is never idle; more would wait there in no order.
-const MAX_IN_FLIGHT_PER_SLOT: u32 = 2;
-
 /// Statements that a transaction is taken to run after its first one, one of them the commit.
 const LATER_STATEMENTS: u32 = 2;
 
@@ -308,11 +304,11 @@
 
     /// The number of this daemon's statements that may be in flight at an instance.
     fn in_flight_limit(&self, instance: &Instance) -> f64 {
-        let limit = self.pool.admission(&instance.id, |controller| {
+        let (limit, wait_ms) = self.pool.admission(&instance.id, |controller| {
             let limit: &dyn ConcurrencyLimit = controller;
-            limit.limit(Clock.now())
+            (limit.limit(Clock.now()), controller.wait_ms())
         });
-        limit.min(f64::from(instance.slots * MAX_IN_FLIGHT_PER_SLOT)).max(1.0)
+        bounded_limit(limit, instance.slots, wait_ms)
     }
 
     /// Whether one more statement may be sent; the limit is rounded.
