--- a/crates/persimmon-proxy/src/dispatcher.rs
+++ b/crates/persimmon-proxy/src/dispatcher.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 
 use persimmon_balancing::{
-    ConcurrencyLimit, DispatchQueue, Dispatched, Forecast, Offer, QueueEntry, QueueRefusal,
-    QueueRefusalReason, Ticket, bounded_limit,
+    AttemptKind, ConcurrencyLimit, DispatchQueue, Dispatched, Forecast, Offer, QueueEntry,
+    QueueRefusal, QueueRefusalReason, Ticket, bounded_limit,
 };
 use persimmon_interfaces::{Instance, Table};
 use persimmon_types::Clock;
@@ -34,6 +34,10 @@
 /// Statements that a transaction is taken to run after its first one, one of them the commit.
 const LATER_STATEMENTS: u32 = 2;
 
+/// Share of a read's remaining time within which it must be answered after it waited: the daemon that
+/// forwarded it tries another path after 0.7 of its time, and would run it twice.
+const READ_WAIT_SHARE: f64 = 0.6;
+
 /// Weight of a statement's quota in the mean of quotas.
 const MEAN_QUOTA_WEIGHT: f64 = 0.01;
 
@@ -216,7 +220,11 @@
         execution: &mut Execution,
     ) -> Turn {
         let later = if execution.mode.opens_transaction() { LATER_STATEMENTS } else { 0 };
-        let entry = QueueEntry { later_statements: later, ..self.queue_entry(job) };
+        let mut entry = QueueEntry { later_statements: later, ..self.queue_entry(job) };
+        if execution.mode.attempt_kind() == AttemptKind::Read {
+            let now = Clock.now();
+            entry.deadline = now + job.deadline.since(now).mul_f64(READ_WAIT_SHARE);
+        }
         let priority = entry.priority;
         let mut places = Vec::new();
         let mut refusal = None;
