--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -11,15 +11,15 @@
 use std::time::Duration;
 
 use persimmon_balancing::{
-    AdmissionController, ConnectionCounts, ConnectionLimits, ConnectionWaiters, HandshakeLimiter,
+    AdmissionController, ConnectionCounts, ConnectionLimits, HandshakeLimiter,
     IdleConnectionPolicy, InstanceLoad,
 };
 use persimmon_interfaces::{ErrorCode, Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Semaphore;
 
 use crate::connection::{BackendConnection, ConnectionError, ConnectionUser, DesiredState};
-use crate::connection_waiter::ConnectionWaiter;
+use crate::connection_waiter::{ConnectionQueue, ConnectionWaiter};
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 
@@ -73,9 +73,8 @@
     failures: u64,
     /// Why the latest attempt failed.
     last_failure: Option<Unavailable>,
-    released: Rc<Notify>,
-    /// Statements that wait for a connection in order.
-    waiters: Rc<RefCell<ConnectionWaiters>>,
+    /// Who waits for a connection.
+    queue: ConnectionQueue,
 }
 
 /// The connection pool of one thread.
@@ -194,48 +193,24 @@
         if backend.is_idle() && !backend.has_large_state() {
             entry.idle.push(backend);
         }
-        if entry.waiters.borrow().is_empty() {
-            entry.released.notify_one();
-        } else {
-            // Each of them checks whether it is its turn.
-            entry.released.notify_waiters();
-        }
+        entry.queue.notify_released();
     }
 
     /// Whether more statements wait for a connection, in order, than are idle. Further ones can only
     /// wait for the next connection to open.
     pub(crate) fn needs_connections(&self, id: &str) -> bool {
         let entries = self.entries.borrow();
-        entries.get(id).is_some_and(|entry| entry.waiters.borrow().len() > entry.idle.len())
+        entries.get(id).is_some_and(|entry| entry.queue.len() > entry.idle.len())
     }
 
-    /// Adds a statement to those that wait for a connection, if they wait in order.
     fn wait_in_order(
         &self,
         instance: &Instance,
         desired: &DesiredState<'_>,
     ) -> Option<ConnectionWaiter> {
-        let rank = desired.rank?;
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        let (waiters, released) = (Rc::clone(&entry.waiters), Rc::clone(&entry.released));
-        Some(ConnectionWaiter::new(waiters, released, rank, desired.user.workspace()))
-    }
-
-    /// Whether a statement may take an idle connection now, as far as the order decides.
-    fn is_its_turn(
-        &self,
-        id: &Arc<str>,
-        desired: &DesiredState<'_>,
-        waiter: Option<&ConnectionWaiter>,
-    ) -> bool {
-        let Some(waiter) = waiter else {
-            return true;
-        };
-        let entries = self.entries.borrow();
-        let idle = entries.get(id).map_or(&[][..], |entry| &entry.idle);
-        let is_usable = |b: &&BackendConnection| b.is_idle() && desired.user.accepts(b.workspace());
-        waiter.may_take(idle.iter().filter(is_usable).count())
+        desired.rank.map(|rank| entry.queue.add(rank, desired.user.workspace()))
     }
 
     /// Takes an idle connection of the desired user, preferring one that already has the desired
@@ -244,6 +219,7 @@
         &self,
         instance: &Instance,
         desired: &DesiredState<'_>,
+        waiter: Option<&ConnectionWaiter>,
     ) -> Option<BackendConnection> {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
@@ -257,6 +233,10 @@
         }
         entry.idle.retain(BackendConnection::is_idle);
         let is_usable = |backend: &BackendConnection| desired.user.accepts(backend.workspace());
+        let usable = entry.idle.iter().filter(|b| is_usable(b)).count();
+        if waiter.is_some_and(|waiter| !waiter.may_take(usable)) {
+            return None;
+        }
         let matching = desired.variables.and_then(|variables| {
             let matches = |b: &BackendConnection| is_usable(b) && b.has_variables(variables);
             entry.idle.iter().position(matches)
@@ -302,9 +282,7 @@
         let mut failures_before = None;
         let waiter = self.wait_in_order(instance, desired);
         loop {
-            if self.is_its_turn(&instance.id, desired, waiter.as_ref())
-                && let Some(backend) = self.take_idle(instance, desired)
-            {
+            if let Some(backend) = self.take_idle(instance, desired, waiter.as_ref()) {
                 let pool = Rc::clone(self);
                 let instance = Arc::clone(instance);
                 return Ok(PooledConnection {
@@ -334,7 +312,7 @@
                 if now < entry.refused_until && entry.counts.is_empty() {
                     return Err(Unavailable::Full);
                 }
-                Rc::clone(&entry.released)
+                entry.queue.released()
             };
             let wait = RECHECK_INTERVAL.min(deadline.since(now));
             // A timeout only makes the loop check again.
@@ -514,7 +492,7 @@
         if let Some(entry) = self.pool.entries.borrow_mut().get_mut(self.id) {
             entry.counts.opening = entry.counts.opening.saturating_sub(1);
             // Wakes all waiters: one takes the connection, another may open the next.
-            entry.released.notify_waiters();
+            entry.queue.notify_all();
         }
     }
 }
