Keys: owners check their callers, unknown keys cause a bounded check of the table, odd entries cost themselves

An owner ran whatever another daemon forwarded, also for a key that its own newer table had removed. It now refuses it, and the daemon with the session answers NOAUTH, or ABORTED inside a transaction, without another path. A tenants value that is no list, or one unreadable workspace, made the whole table unreadable; fields beside api_keys passed on whatever they held. A table given up after a restore brought removed keys back.

--- a/crates/persimmon-interfaces/src/lib.rs
+++ b/crates/persimmon-interfaces/src/lib.rs
@@ -26,6 +26,6 @@
     Change, Changes, Listing, Object, ObjectKind, ObjectStore, ReadResult, StoreError,
 };
 pub use topology::{
-    DecodeError, Freshness, Instance, InstanceReport, ObjectDecoder, Role, Route, Service, Table,
-    UnknownKey,
+    CallerMismatch, DecodeError, Freshness, Instance, InstanceReport, ObjectDecoder, Role, Route,
+    Service, Table, UnknownKey,
 };
--- a/crates/persimmon-interfaces/src/topology.rs
+++ b/crates/persimmon-interfaces/src/topology.rs
@@ -86,7 +86,62 @@
 #[error("the key identifies no workspace")]
 pub struct UnknownKey;
 
+/// Why a daemon does not run a statement that another daemon forwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum CallerMismatch {
+    /// The route needs a workspace and the key identifies none.
+    #[error("the key identifies no workspace")]
+    UnknownKey,
+    /// The sender runs it for another workspace than the newer table names, or for none where the newer
+    /// table requires one.
+    #[error("the statement belongs to another workspace")]
+    OtherWorkspace,
+}
+
 impl Table {
+    /// Returns this older table without the keys that `newer`, which is given up for it, does not hold
+    /// for the same workspace: keys that were removed meanwhile must not identify anyone again.
+    #[must_use]
+    pub fn without_removed_keys(mut self, newer: &Self) -> Self {
+        self.workspaces = match (self.workspaces, &newer.workspaces) {
+            (Some(older), Some(newer)) => Some(Arc::new(older.without_removed_keys(newer))),
+            (None, Some(newer)) => Some(Arc::clone(newer)),
+            (workspaces, None) => workspaces,
+        };
+        self
+    }
+
+    /// Checks the workspace of a statement that a daemon forwards whose active version is
+    /// `sender_version`. A sender with a newer table is trusted; `caller` is the workspace and the key
+    /// that the sender found, and `route` the sender's route, which counts only if this table has none
+    /// for the database.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this table does not allow the statement to run for that workspace.
+    pub fn check_forwarded(
+        &self,
+        route: &Route,
+        caller: Option<(&str, ClientKey)>,
+        sender_version: u64,
+    ) -> Result<(), CallerMismatch> {
+        if self.version < sender_version {
+            return Ok(());
+        }
+        let own_route = self.routes.get(&route.database).map_or(route, |own| &**own);
+        let Some(workspaces) = self.workspaces.as_ref().filter(|_| !own_route.is_public) else {
+            return Ok(());
+        };
+        let Some((name, key)) = caller else {
+            return Err(CallerMismatch::OtherWorkspace);
+        };
+        match workspaces.find(key) {
+            None => Err(CallerMismatch::UnknownKey),
+            Some(workspace) if &*workspace.name != name => Err(CallerMismatch::OtherWorkspace),
+            Some(_) => Ok(()),
+        }
+    }
+
     /// The workspace for which a client with `key` uses `route`; `None` if the route needs none.
     ///
     /// # Errors
--- a/crates/persimmon-lab/src/fault_proxy.rs
+++ b/crates/persimmon-lab/src/fault_proxy.rs
@@ -19,6 +19,24 @@
     discard_responses: AtomicBool,
     refuse: AtomicBool,
     delay_us: AtomicU64,
+    /// Whether `recorded` receives what passes.
+    records: AtomicBool,
+    recorded: Mutex<Vec<Vec<u8>>>,
+}
+
+impl Faults {
+    /// Appends a chunk to the record of one direction of a connection.
+    fn record(&self, stream: &mut Option<usize>, chunk: &[u8]) {
+        if !self.records.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut recorded = self.recorded.lock().unwrap_or_else(PoisonError::into_inner);
+        let index = *stream.get_or_insert_with(|| {
+            recorded.push(Vec::new());
+            recorded.len() - 1
+        });
+        recorded[index].extend_from_slice(chunk);
+    }
 }
 
 /// A fault-injecting proxy in front of one address.
@@ -142,6 +160,17 @@
         self.faults.delay_us.store(micros, Ordering::Relaxed);
     }
 
+    /// Records from now on what passes.
+    pub fn record(&self) {
+        self.faults.records.store(true, Ordering::Relaxed);
+    }
+
+    /// What has passed since [`Self::record`], by connection and direction.
+    #[must_use]
+    pub fn recorded(&self) -> Vec<Vec<u8>> {
+        self.faults.recorded.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Closes all open connections.
     pub fn close_connections(&self) {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
@@ -166,10 +195,12 @@
         (&faults.stall_responses, &faults.discard_responses)
     };
     let mut is_silent = false;
+    let mut record = None;
     while let Ok(read) = from.read(&mut chunk) {
         if read == 0 {
             break;
         }
+        faults.record(&mut record, &chunk[..read]);
         let delay = faults.delay_us.load(Ordering::Relaxed);
         if delay > 0 {
             std::thread::sleep(Duration::from_micros(delay));
--- a/crates/persimmon-lab/src/line_cluster/client.rs
+++ b/crates/persimmon-lab/src/line_cluster/client.rs
@@ -48,18 +48,32 @@
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 impl LineClient {
-    /// Opens a session; `name` is the first part of each request's id.
+    /// Opens a session; `name` is the first part of each request's id, and the client's key.
     ///
     /// # Errors
     ///
     /// Returns an error if the daemon refuses the session.
     pub fn open(address: SocketAddr, database: &str, name: &str) -> io::Result<Self> {
+        Self::open_with_key(address, database, name, name)
+    }
+
+    /// The same with a key that is not the first part of the ids.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon refuses the session.
+    pub fn open_with_key(
+        address: SocketAddr,
+        database: &str,
+        key: &str,
+        name: &str,
+    ) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, RESPONSE_TIMEOUT)?;
         stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
         stream.set_nodelay(true)?;
         let lines = BufReader::new(stream.try_clone()?);
         let mut client = Self { stream, lines, id: String::new(), name: name.to_owned() };
-        write!(client.stream, "STARTUP {database} {name}\r\n")?;
+        write!(client.stream, "STARTUP {database} {key}\r\n")?;
         let line = client.read_line()?;
         if line.starts_with("READY I") {
             return Ok(client);
--- a/crates/persimmon-lab/src/line_cluster/group.rs
+++ b/crates/persimmon-lab/src/line_cluster/group.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::line_cluster::workspaces::KnownWorkspaces;
+
 /// The timing and limits of a group's instances.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceProfile {
@@ -71,6 +73,8 @@
     pub name: String,
     /// The timing and limits of its instances.
     pub profile: InstanceProfile,
+    /// The workspaces of the table.
+    pub(crate) workspaces: KnownWorkspaces,
     state: Mutex<State>,
 }
 
@@ -98,6 +102,7 @@
         Self {
             name: name.to_owned(),
             profile,
+            workspaces: KnownWorkspaces::default(),
             state: Mutex::new(State {
                 term: 1,
                 primary: Some(0),
--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -153,7 +153,11 @@
         if count >= self.group.profile.max_connections {
             return write!(out, "ERROR TOOMANY {id}\r\n");
         }
-        let mut session = Session::new(self, id);
+        let user = words[2].trim_end_matches('\r');
+        if let Some(violation) = self.group.workspaces.connection_violation(user) {
+            self.group.record_violation(violation);
+        }
+        let mut session = Session::new(self, id, user);
         write!(out, "{}", session.ready())?;
         for line in lines {
             let response = session.handle_line(line?.trim_end_matches('\r'));
@@ -193,6 +197,8 @@
 struct Session<'a> {
     server: &'a InstanceServer,
     id: String,
+    /// Who is connecting, by the first line.
+    user: String,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, (bool, String)>,
     tx: Option<Tx>,
@@ -203,10 +209,11 @@
 type StatementResult = Result<(Vec<String>, Option<String>), (&'static str, String)>;
 
 impl<'a> Session<'a> {
-    fn new(server: &'a InstanceServer, id: &str) -> Self {
+    fn new(server: &'a InstanceServer, id: &str, user: &str) -> Self {
         Self {
             server,
             id: id.to_owned(),
+            user: user.to_owned(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             tx: None,
@@ -353,8 +360,11 @@
     }
 
     /// Records a violation if a request runs with the settings or in the transaction of another
-    /// session. A request's id holds its session's name before a colon.
+    /// session, or on a connection of another workspace. A request's id holds its session's name before a colon.
     fn check_session_isolation(&mut self, id: &str) {
+        if let Some(violation) = self.server.group.workspaces.statement_violation(&self.user, id) {
+            self.server.group.record_violation(violation);
+        }
         let session_name = id.split(':').next().unwrap_or_default().to_owned();
         let expected = self.values.get("who").cloned();
         if expected.as_ref().is_some_and(|who| *who != session_name) {
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod instance;
 mod store;
+mod workspaces;
 
 use std::collections::HashMap;
 use std::io;
@@ -61,6 +62,8 @@
     checks_drain_limit: bool,
     /// The workspaces of the table, in the form of the platform; `None` in a deployment without them.
     workspaces: Mutex<Option<Value>>,
+    /// The databases whose routes need no key.
+    public_databases: Mutex<Vec<String>>,
     /// What each instance wrote last of itself, and how often it has written.
     written: Mutex<HashMap<String, (Value, u64)>>,
 }
@@ -101,6 +104,7 @@
             drain_limit: DEFAULT_DRAIN_LIMIT,
             checks_drain_limit: true,
             workspaces: Mutex::default(),
+            public_databases: Mutex::default(),
             written: Mutex::default(),
         };
         cluster.publish_instances(false);
@@ -126,11 +130,21 @@
     }
 
     /// Sets the workspaces that the next versions of the table contain, in the form of the platform. A
-    /// client of [`LineClient`] sends its name as its key.
+    /// client of [`LineClient`] sends its name as its key. Instances record a violation if a statement
+    /// of a key runs on a connection that names none of the workspaces which have held that key.
     pub fn set_workspaces(&self, workspaces: Value) {
+        for (group, _) in &self.groups {
+            group.workspaces.add(&workspaces);
+        }
         *self.workspaces.lock().unwrap_or_else(PoisonError::into_inner) = Some(workspaces);
     }
 
+    /// Lets the next versions of the table route these databases without a key.
+    pub fn set_public_databases(&self, databases: &[&str]) {
+        let databases = databases.iter().map(|database| (*database).to_owned()).collect();
+        *self.public_databases.lock().unwrap_or_else(PoisonError::into_inner) = databases;
+    }
+
     /// Lets instances record no new work after the drain limit: for runs in which daemons may be kept
     /// from learning that an instance leaves.
     #[must_use]
@@ -223,6 +237,12 @@
         for (database, service) in extra_routes {
             routes.push(route_json(database, "primary", &format!("svc{service}")));
         }
+        let public = self.public_databases.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for route in &mut routes {
+            if public.iter().any(|database| route["host"] == **database) {
+                route["public"] = json!(true);
+            }
+        }
         let mut table = json!({
             "version": version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3_000},
--- a/crates/persimmon-proxy/src/active_table.rs
+++ b/crates/persimmon-proxy/src/active_table.rs
@@ -4,7 +4,8 @@
 //!
 //! - The active version only rises, except that a version which the store lost in a restore, and
 //!   which the operators do not write again, is given up after [`LOST_TABLE_RETENTION`].
-//! - A version that was given up is not taken from peers again.
+//! - A version that was given up is not taken from peers again, and no key that it had removed is
+//!   valid again.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -127,7 +128,10 @@
         let Some((stored, _)) = self.lost.take() else {
             return false;
         };
-        self.active = Some(stored);
+        self.active = match self.active.take() {
+            Some(newer) => Some(Arc::new(Table::clone(&stored).without_removed_keys(&newer))),
+            None => Some(stored),
+        };
         self.era = store_era;
         self.min_peer_era = store_era;
         true
--- a/crates/persimmon-proxy/src/control/check.rs
+++ b/crates/persimmon-proxy/src/control/check.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use persimmon_interfaces::{Changes, Listing, ObjectKind, Revision, StoreError};
 use persimmon_ownership::WATCHER_KEY;
 use persimmon_types::{Clock, Time};
@@ -32,6 +34,9 @@
 /// How long a daemon takes to renew its proof by that of another one.
 const HOP_TIME: Duration = Duration::from_millis(150);
 
+/// Peers that are asked at the same time for what they have now.
+const MAX_ASKED_PEERS: usize = 3;
+
 /// Objects that this daemon lacks.
 #[derive(Debug)]
 pub(super) struct Found {
@@ -210,6 +215,30 @@
     None
 }
 
+/// Asks those peers and the first daemons of all beside each other, whatever is proved already; returns
+/// what the first one has that knows of changes.
+pub(super) async fn ask_all_peers(
+    control: &Control,
+    kind: RelayedKind,
+    revision: Revision,
+) -> Option<Found> {
+    let mut peers = check_peers(control);
+    for peer in control.peers.top(WATCHER_KEY, MAX_ASKED_PEERS) {
+        if peer != control.settings.peers && !peers.contains(&peer) {
+            peers.push(peer);
+        }
+    }
+    peers.truncate(MAX_ASKED_PEERS);
+    let mut asking: FuturesUnordered<_> =
+        peers.into_iter().map(|peer| ask_peer(control, peer, kind, revision)).collect();
+    while let Some(found) = asking.next().await {
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
 /// The daemon that renews this one's proof, and another one in case that fails.
 fn check_peers(control: &Control) -> Vec<SocketAddr> {
     let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod check;
 mod follow;
+mod on_demand;
 mod peers;
 mod probe;
 mod promotion;
@@ -37,6 +38,7 @@
 use crate::sampling::LatestSamples;
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
+use crate::table_checks::TableChecks;
 use crate::traffic::Suspicion;
 
 /// How long a watcher of the store may take to answer, of which it waits 700 ms for changes.
@@ -45,6 +47,9 @@
 /// How long a daemon may take to tell what it knows at present.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Invalid workspaces and keys that are logged for one version of the table.
+const MAX_LOGGED_REJECTIONS: usize = 20;
+
 /// What the control thread is created from.
 pub(crate) struct Parts {
     pub(crate) settings: Arc<Settings>,
@@ -61,6 +66,7 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
+    pub(crate) table_checks: Arc<TableChecks>,
 }
 
 /// The state of the control thread.
@@ -174,9 +180,11 @@
             before,
             era = self.table.borrow().era(),
             routes = table.routes.len(),
+            workspaces = table.workspaces.as_ref().map(|w| w.len()),
             source,
             "table activated"
         );
+        log_rejected(&table);
         self.publish();
     }
 
@@ -311,6 +319,15 @@
     }
 }
 
+/// Logs the workspaces and keys that a version of the table leaves out.
+fn log_rejected(table: &Table) {
+    let rejected = table.workspaces.as_ref().map_or(&[][..], |w| w.rejected());
+    for problem in rejected.iter().take(MAX_LOGGED_REJECTIONS) {
+        tracing::warn!(version = table.version, %problem, count = rejected.len(),
+            "a workspace or key of the table is invalid and left out");
+    }
+}
+
 /// Starts the control thread.
 ///
 /// # Errors
@@ -354,6 +371,7 @@
     }
     ntex::rt::spawn(follow::follow_table(Rc::clone(&control)));
     ntex::rt::spawn(follow::follow_directory(Rc::clone(&control)));
+    ntex::rt::spawn(on_demand::check_on_demand(Rc::clone(&control), parts.table_checks));
     ntex::rt::spawn(peers::exchange_with_peers(Rc::clone(&control)));
     promotion::run(control, parts.suspicions).await;
 }
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -26,7 +26,7 @@
 pub(crate) use crate::forwarding::link::Links;
 use crate::forwarding::link::{Link, Patience};
 pub(crate) use crate::forwarding::owner::{HeldCount, serve};
-use crate::forwarding::service::{ContinueRequest, ExecuteRequest};
+use crate::forwarding::service::{ContinueRequest, ExecuteRequest, Refusal};
 use crate::forwarding::wire::WireStatement;
 use crate::metrics::Metrics;
 use crate::statement_job::{Execution, ExecutionMode, StatementJob};
@@ -129,7 +129,13 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(refusal)) => {
                 link.record_refusal(refusal);
-                return Err(HopFailure::NotForwarded);
+                let Some(code) = refused_code(refusal) else {
+                    return Err(HopFailure::NotForwarded);
+                };
+                let mut execution = Execution::new(mode);
+                execution.owner = Some(owner);
+                execution.failure = Some(Arc::from(format!("{refusal:?}")));
+                return Ok(execution.refused(code));
             }
             Err(failure) => {
                 if failure == HopFailure::Unanswered && mode.opens_transaction() {
@@ -150,6 +156,17 @@
     }
 }
 
+/// The code for a statement that an owner refuses and that no other path may run; `None` if another
+/// one may.
+fn refused_code(refusal: Refusal) -> Option<ErrorCode> {
+    match refusal {
+        Refusal::UnknownKey => Some(ErrorCode::UnknownKey),
+        // This daemon's table is behind; the client may retry once it is not.
+        Refusal::OtherWorkspace => Some(ErrorCode::Busy),
+        Refusal::Draining | Refusal::UnknownService | Refusal::UnknownTransaction => None,
+    }
+}
+
 /// A transaction that is open on a connection of another daemon.
 struct ForwardedTransaction {
     link: Rc<Link>,
@@ -178,11 +195,15 @@
         match self.link.wait(calling, job.deadline, Patience::UntilDeadline).await {
             Ok(Ok(reply)) => reply.try_into().unwrap_or_else(|()| lost(HopFailure::Unanswered)),
             // The other daemon no longer has the transaction, so it is rolled back.
-            Ok(Err(_)) => TransactionStep {
-                result: Err(AttemptFailure::Answered(ErrorCode::Busy)),
-                attempts: 1,
-                commit_position: None,
-            },
+            Ok(Err(refusal)) => {
+                self.link.record_refusal(refusal);
+                let code = refused_code(refusal).unwrap_or(ErrorCode::Busy);
+                TransactionStep {
+                    result: Err(AttemptFailure::Answered(code)),
+                    attempts: 1,
+                    commit_position: None,
+                }
+            }
             Err(failure) => lost(failure),
         }
     }
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -116,6 +116,7 @@
             return Err(Refusal::Draining);
         }
         let received = ReceivedStatement::from(request.statement);
+        self.check_caller(&received)?;
         if worker.snapshot().instances(&received.route.service).is_empty() {
             return Err(Refusal::UnknownService);
         }
@@ -143,6 +144,11 @@
             return Err(Refusal::UnknownTransaction);
         };
         let received = ReceivedStatement::from(request.statement);
+        if let Err(refusal) = self.check_caller(&received) {
+            self.transactions.borrow_mut().remove(&number);
+            transaction.rollback();
+            return Err(refusal);
+        }
         let instance = Arc::clone(transaction.instance());
         let mut job = received.job();
         job.deadline = self.worker.limit_deadline(job.deadline);
@@ -167,6 +173,27 @@
         Ok(ContinueReply::from(step))
     }
 
+    /// Refuses a statement that the active table does not allow to run for its workspace, unless the
+    /// sender's table is newer.
+    fn check_caller(&self, received: &ReceivedStatement) -> Result<(), Refusal> {
+        let snapshot = self.worker.snapshot();
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        let caller = received.caller.as_ref().map(|c| (&*c.workspace, c.key));
+        let checked = table.check_forwarded(&received.route, caller, received.table_version);
+        checked.map_err(|problem| {
+            Metrics::increment(&self.worker.metrics.unknown_keys);
+            if self.worker.log.should_log(true) {
+                tracing::info!(id = %received.id(), caller = %self.caller,
+                    database = %received.route.database, table = table.version,
+                    sender_table = received.table_version, %problem,
+                    "forwarded statement refused");
+            }
+            Refusal::from(problem)
+        })
+    }
+
     fn log(&self, received: &ReceivedStatement, execution: &Execution, took: Duration) {
         let code = match &execution.result {
             Ok(answer) => answer.code().cloned(),
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::sync::Arc;
 
+use persimmon_interfaces::CallerMismatch;
 use serde::{Deserialize, Serialize};
 use tarpc::serde_transport::{self, Transport};
 use tarpc::tokio_serde::formats::Json;
@@ -25,6 +26,21 @@
     UnknownService,
     /// The daemon does not have the transaction; if it had, it is rolled back.
     UnknownTransaction,
+    /// The key identifies no workspace in a table that is at least as new as the sender's. A
+    /// transaction is rolled back.
+    UnknownKey,
+    /// By such a table the statement belongs to another workspace than the sender says. A transaction is
+    /// rolled back.
+    OtherWorkspace,
+}
+
+impl From<CallerMismatch> for Refusal {
+    fn from(mismatch: CallerMismatch) -> Self {
+        match mismatch {
+            CallerMismatch::UnknownKey => Self::UnknownKey,
+            CallerMismatch::OtherWorkspace => Self::OtherWorkspace,
+        }
+    }
 }
 
 /// A statement outside a transaction, or the first one of a transaction.
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -69,20 +69,18 @@
     workspace: Arc<str>,
     /// The digest of the key, never its text.
     key: ClientKey,
-    /// The version of the sender's table.
-    table: u64,
 }
 
 impl From<&Caller> for WireCaller {
     fn from(caller: &Caller) -> Self {
         let workspace = Arc::clone(&caller.workspace);
-        Self { workspace, key: caller.key, table: caller.table_version }
+        Self { workspace, key: caller.key }
     }
 }
 
 impl From<WireCaller> for Caller {
     fn from(wire: WireCaller) -> Self {
-        Self { workspace: wire.workspace, key: wire.key, table_version: wire.table }
+        Self { workspace: wire.workspace, key: wire.key }
     }
 }
 
@@ -97,6 +95,9 @@
     route: Route,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     caller: Option<WireCaller>,
+    /// The version of the sender's table; zero from a daemon that knows of no workspaces.
+    #[serde(default)]
+    table_version: u64,
     last_commit_position: Option<Position>,
     /// Age of the session's last commit without a known position, if there was one.
     unpositioned_commit_age_us: Option<u64>,
@@ -121,6 +122,7 @@
             variables: job.variables.clone(),
             route: (*job.route).clone(),
             caller: job.caller.map(WireCaller::from),
+            table_version: job.table_version,
             last_commit_position: job.last_commit_position,
             unpositioned_commit_age_us: unpositioned.map(age_us),
             fresh_as_of_age_us: age_us(job.fresh_as_of),
@@ -137,6 +139,8 @@
     variables: BTreeMap<Arc<str>, Arc<str>>,
     pub(crate) route: Arc<Route>,
     pub(crate) caller: Option<Caller>,
+    /// The version of the sender's table.
+    pub(crate) table_version: u64,
     last_commit_position: Option<Position>,
     unpositioned_commit_at: Time,
     fresh_as_of: Time,
@@ -159,6 +163,7 @@
             variables: wire.variables,
             route: Arc::new(wire.route),
             caller: wire.caller.map(Caller::from),
+            table_version: wire.table_version,
             last_commit_position: wire.last_commit_position,
             unpositioned_commit_at,
             fresh_as_of: now - Duration::from_micros(wire.fresh_as_of_age_us),
@@ -179,6 +184,7 @@
             query: &self.query,
             route: Arc::clone(&self.route),
             caller: self.caller.as_ref(),
+            table_version: self.table_version,
             shape: self.shape.as_ref(),
             variables: &self.variables,
             last_commit_position: self.last_commit_position,
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -72,7 +72,7 @@
     sessions_opened,
     /// Sessions ended.
     sessions_closed,
-    /// Sessions and statements refused because the key identifies no workspace.
+    /// Sessions and statements refused because the key does not identify their workspace.
     unknown_keys,
     /// Values and prepared statements of sessions refused for their size or number.
     session_state_refused,
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -23,6 +23,7 @@
 use crate::sampling::LatestSamples;
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
+use crate::table_checks::TableChecks;
 use crate::traffic::{self, ShutdownStage, Worker};
 
 /// Capacity of the queue of suspicions to the control thread.
@@ -76,6 +77,7 @@
     let samples = Arc::new(LatestSamples::new(sample_requests_tx));
     let settings = Arc::new(settings);
     let relay = Arc::new(Relay::new());
+    let table_checks = Arc::new(TableChecks::default());
     let (snapshot_tx, snapshot) = watch::channel(Arc::new(RoutingSnapshot::default()));
     let (suspicions_tx, suspicions) = mpsc::channel(SUSPICION_QUEUE);
     let (stage_tx, stage) = watch::channel(ShutdownStage::Serving);
@@ -93,6 +95,7 @@
         peers: Arc::clone(&peers),
         samples: Arc::clone(&samples),
         relay: Arc::clone(&relay),
+        table_checks: Arc::clone(&table_checks),
     })?;
     let parts = traffic::Parts {
         settings,
@@ -106,6 +109,7 @@
         peers,
         samples,
         relay,
+        table_checks,
     };
     let system = System::new("traffic", DefaultRuntime);
     system.block_on(async move {
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -5,6 +5,7 @@
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
 
+mod identity;
 pub(crate) mod state;
 mod statements;
 
@@ -18,7 +19,7 @@
 use ntex::util::BytesMut;
 use persimmon_interfaces::{
     ClientMessage, ClientProtocol, ErrorCode, ProtocolError, Query, Reply, Route, Statement,
-    TxStatus, UnknownKey,
+    TxStatus,
 };
 use persimmon_types::{Clock, Position, Time};
 use persimmon_workspace::ClientKey;
@@ -34,15 +35,9 @@
 /// How long a client may take to send its startup message.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// How long a new session waits for the first table; clients give up after two seconds.
-const TABLE_WAIT_TIMEOUT: Duration = Duration::from_millis(1_700);
-
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
-/// What a client with an unknown key is told.
-const UNKNOWN_KEY_TEXT: &str = "the key identifies no workspace";
-
 #[derive(Debug)]
 struct ClientCodec {
     protocol: Arc<dyn ClientProtocol>,
@@ -165,80 +160,6 @@
         }
     }
 
-    async fn start(&mut self) -> bool {
-        let deadline = Clock.now() + TABLE_WAIT_TIMEOUT;
-        while self.worker.snapshot().table.is_none() {
-            let left = deadline.since(Clock.now());
-            if left.is_zero() {
-                tracing::warn!(database = %self.database,
-                    "session refused: no table has been received yet");
-                self.send(&[refusal(ErrorCode::Busy, RETRY_AFTER)]);
-                return false;
-            }
-            // A timeout only makes the loop check again.
-            let _ = tokio::time::timeout(left, self.worker.snapshot_changed()).await;
-        }
-        let version = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
-        let Some(route) = self.route() else {
-            tracing::info!(database = %self.database, table = version,
-                "session refused: no route for the database");
-            self.send(&[error(ErrorCode::NoSuchDatabase, &self.database)]);
-            return false;
-        };
-        if self.identify(&route).is_err() {
-            Metrics::increment(&self.worker.metrics.unknown_keys);
-            tracing::info!(database = %self.database, table = version,
-                "session refused: the key identifies no workspace");
-            self.send(&[error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT)]);
-            return false;
-        }
-        self.send(&[ready(TxStatus::Idle, None)]);
-        true
-    }
-
-    fn route(&self) -> Option<Arc<Route>> {
-        self.worker.snapshot().table.as_ref()?.routes.get(&self.database).cloned()
-    }
-
-    /// Looks the session's workspace up in the active table.
-    fn identify(&mut self, route: &Route) -> Result<(), UnknownKey> {
-        let snapshot = self.worker.snapshot();
-        let Some(table) = snapshot.table.as_ref() else {
-            return Err(UnknownKey);
-        };
-        self.caller = table.workspace(route, self.key)?.map(|workspace| Caller {
-            workspace: Arc::clone(&workspace.name),
-            key: self.key,
-            table_version: table.version,
-        });
-        Ok(())
-    }
-
-    /// Refuses a statement whose session's key was removed from the table, and ends the session. The
-    /// open transaction is rolled back.
-    fn refuse_unknown_key(&mut self, query: &Query) -> bool {
-        Metrics::increment(&self.worker.metrics.unknown_keys);
-        let has_transaction = !matches!(self.tx, Tx::None);
-        let version = self.worker.snapshot().table.as_ref().map_or(0, |t| t.version);
-        tracing::info!(id = %query.id, database = %self.database, table = version, has_transaction,
-            "not run: the session's key was removed");
-        if !has_transaction {
-            self.send(&[
-                error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT),
-                ready(TxStatus::Idle, None),
-            ]);
-            return false;
-        }
-        let is_commit = query.statement == Statement::Commit;
-        self.rollback_detached();
-        self.tx = if is_commit { Tx::None } else { Tx::Failed };
-        self.send(&[
-            error(ErrorCode::Aborted, "the session's key was removed; nothing is kept"),
-            ready(self.status(), None),
-        ]);
-        true
-    }
-
     fn send(&self, replies: &[Reply]) {
         let mut buf = BytesMut::with_capacity(256);
         for reply in replies {
@@ -332,6 +253,11 @@
         if matches!(self.tx, Tx::Failed) {
             return self.query_failed_transaction(query);
         }
+        if query.statement != Statement::Rollback
+            && let Some(continues) = self.check_identity(query)
+        {
+            return continues;
+        }
         match &query.statement {
             Statement::Begin { is_read_only } => self.begin(query, *is_read_only),
             Statement::Rollback => self.rollback(),
@@ -422,9 +348,6 @@
                 "the database's route was removed");
             return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
         };
-        if self.identify(&route).is_err() {
-            return self.refuse_unknown_key(query);
-        }
         self.tx = Tx::Begun { is_read_only, arrival: Clock.now(), route };
         self.complete()
     }
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -22,12 +22,6 @@
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
         let worker = Rc::clone(&self.worker);
-        if let Tx::Begun { route, .. } | Tx::Open { route, .. } = &self.tx {
-            let route = Arc::clone(route);
-            if self.identify(&route).is_err() {
-                return self.refuse_unknown_key(query);
-            }
-        }
         let (mode, route, fresh_as_of) = match &self.tx {
             Tx::Open { .. } => return self.continue_transaction(query, shape, arrival).await,
             Tx::Begun { is_read_only, arrival, route } => {
@@ -44,9 +38,6 @@
                         "the database's route was removed");
                     return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
                 };
-                if self.identify(&route).is_err() {
-                    return self.refuse_unknown_key(query);
-                }
                 (autocommit_mode(access), route, arrival)
             }
         };
@@ -81,6 +72,7 @@
                 }
                 self.send_answer(answer);
             }
+            Err(ErrorCode::UnknownKey) => return self.refuse_key(query),
             Err(code) => {
                 if has_begun {
                     self.tx = if is_commit { Tx::None } else { Tx::Failed };
@@ -145,6 +137,7 @@
             query,
             route: Arc::clone(route),
             caller: self.caller.as_ref(),
+            table_version: self.table_version(),
             shape,
             variables: self.state.variables(),
             last_commit_position: self.last_commit_position,
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -64,8 +64,6 @@
     pub(crate) workspace: Arc<str>,
     /// The key that identifies it.
     pub(crate) key: ClientKey,
-    /// The version of the table in which the key was found.
-    pub(crate) table_version: u64,
 }
 
 /// A statement to execute.
@@ -75,6 +73,8 @@
     pub(crate) route: Arc<Route>,
     /// The workspace that it belongs to; `None` on a route that needs none.
     pub(crate) caller: Option<&'a Caller>,
+    /// The version of the table by which the route and the workspace were found.
+    pub(crate) table_version: u64,
     /// Access and shape of the prepared statement that it executes, if any.
     pub(crate) shape: Option<&'a Shape>,
     /// The session's variables.
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -11,7 +11,7 @@
 
 use persimmon_balancing::LatencyBaseline;
 use persimmon_interfaces::{ClientProtocol, InstanceProtocol};
-use persimmon_types::Clock;
+use persimmon_types::{Clock, Time};
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -32,6 +32,7 @@
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
 use crate::socket;
+use crate::table_checks::TableChecks;
 
 /// How often idle connections are checked against their limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -97,6 +98,8 @@
     pub(crate) receive_budget: Rc<MemoryBudget>,
     /// Memory for the values and prepared statements of sessions.
     pub(crate) state_budget: Rc<MemoryBudget>,
+    /// Checks that the active table is the newest.
+    pub(crate) table_checks: Arc<TableChecks>,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -115,6 +118,7 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
+    pub(crate) table_checks: Arc<TableChecks>,
 }
 
 impl Worker {
@@ -133,6 +137,7 @@
             held: HeldCount::default(),
             receive_budget: Rc::new(MemoryBudget::new(MAX_INCOMPLETE_BYTES)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
+            table_checks: parts.table_checks,
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
@@ -166,11 +171,17 @@
         Some(Clock.now().since(complete_until))
     }
 
-    /// Waits until the snapshot changes.
-    pub(crate) async fn snapshot_changed(&self) {
-        let mut snapshot = self.snapshot.clone();
-        // The sender is dropped only when the process ends.
-        let _ = snapshot.changed().await;
+    /// A receiver of the snapshots, which changes with each one that follows the present one.
+    pub(crate) fn snapshots(&self) -> watch::Receiver<Arc<RoutingSnapshot>> {
+        let mut snapshots = self.snapshot.clone();
+        snapshots.mark_unchanged();
+        snapshots
+    }
+
+    /// The time until which the active table is known to be the newest; `None` before that was
+    /// proved.
+    pub(crate) fn table_complete_until(&self) -> Option<Time> {
+        self.relay.complete_until(RelayedKind::Table)
     }
 
     /// Connection limit of an instance of a service, over all daemons.
--- a/crates/persimmon-workspace/src/directory.rs
+++ b/crates/persimmon-workspace/src/directory.rs
@@ -13,6 +13,15 @@
 /// A workspace, or one of its keys, that is left out of the directory.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum RejectedEntry {
+    /// The workspaces are not a list, so that no key identifies one.
+    #[error("the workspaces are not a list")]
+    NotAList,
+    /// A field of the workspace at this index is missing or has another type.
+    #[error("the workspace at index {0} cannot be read")]
+    Unreadable(usize),
+    /// Some keys of the workspace are not texts, or empty.
+    #[error("{1} keys of the workspace {0} are not texts")]
+    InvalidKeys(Arc<str>, usize),
     /// The name is not a printable word, so that instances cannot be told it.
     #[error("a workspace's name is not a printable word")]
     Name,
@@ -33,6 +42,7 @@
 pub struct WorkspaceDirectory {
     by_key: HashMap<ClientKey, Arc<Workspace>>,
     by_name: HashMap<Arc<str>, Arc<Workspace>>,
+    rejected: Vec<RejectedEntry>,
 }
 
 impl PartialEq for WorkspaceDirectory {
@@ -45,7 +55,7 @@
 
 impl From<Vec<Workspace>> for WorkspaceDirectory {
     fn from(workspaces: Vec<Workspace>) -> Self {
-        Self::new(workspaces).0
+        Self::new(workspaces)
     }
 }
 
@@ -56,23 +66,47 @@
 }
 
 impl WorkspaceDirectory {
-    /// Creates a directory of the valid workspaces, and returns what is left out of it. An invalid
-    /// workspace or key does not affect the others.
+    /// Creates a directory of the valid workspaces. An invalid workspace or key does not affect the
+    /// others; [`Self::rejected`] returns what is left out.
     #[must_use]
-    pub fn new(workspaces: Vec<Workspace>) -> (Self, Vec<RejectedEntry>) {
+    pub fn new(workspaces: Vec<Workspace>) -> Self {
         let mut directory = Self::default();
-        let mut rejected = Vec::new();
         for workspace in workspaces {
             match directory.check(&workspace) {
                 Ok(()) => {
                     let workspace = Arc::new(workspace);
                     directory.by_name.insert(Arc::clone(&workspace.name), workspace);
                 }
-                Err(err) => rejected.push(err),
+                Err(err) => directory.rejected.push(err),
             }
         }
-        directory.index_keys(&mut rejected);
-        (directory, rejected)
+        directory.index_keys();
+        directory
+    }
+
+    /// Adds entries that could not be decoded to those that are left out.
+    #[must_use]
+    pub fn with_rejected(mut self, rejected: Vec<RejectedEntry>) -> Self {
+        self.rejected.extend(rejected);
+        self
+    }
+
+    /// What is left out of the directory; it names no key.
+    #[must_use]
+    pub fn rejected(&self) -> &[RejectedEntry] {
+        &self.rejected
+    }
+
+    /// Returns the directory without the keys that `newer` does not hold for the same workspace.
+    #[must_use]
+    pub fn without_removed_keys(&self, newer: &Self) -> Self {
+        let workspaces = self.by_name.values().map(|workspace| {
+            let mut workspace = Workspace::clone(workspace);
+            let name = Arc::clone(&workspace.name);
+            workspace.keys.retain(|key| newer.find(*key).is_some_and(|w| w.name == name));
+            workspace
+        });
+        Self::new(workspaces.collect())
     }
 
     fn check(&self, workspace: &Workspace) -> Result<(), RejectedEntry> {
@@ -93,7 +127,7 @@
         }
     }
 
-    fn index_keys(&mut self, rejected: &mut Vec<RejectedEntry>) {
+    fn index_keys(&mut self) {
         let mut shared = Vec::new();
         for workspace in self.by_name.values() {
             for key in &workspace.keys {
@@ -103,7 +137,8 @@
                     }
                     Entry::Occupied(entry) if entry.get().name != workspace.name => {
                         let first = Arc::clone(&entry.get().name);
-                        rejected.push(RejectedEntry::SharedKey(first, Arc::clone(&workspace.name)));
+                        let second = Arc::clone(&workspace.name);
+                        self.rejected.push(RejectedEntry::SharedKey(first, second));
                         shared.push(*key);
                     }
                     Entry::Occupied(_) => {}
--- a/crates/persimmond/tests/fleet/owners.rs
+++ b/crates/persimmond/tests/fleet/owners.rs
@@ -20,7 +20,18 @@
     let cluster = LineCluster::start(1, 3, profile)
         .expect("the fake platform starts")
         .with_max_connections(FEW_CONNECTIONS);
+    setup_with_cluster(name, cluster)
+}
+
+/// The same on a fake platform with [`FEW_CONNECTIONS`]; where it has workspaces, `find` is a key.
+pub fn setup_with_cluster(name: &str, cluster: LineCluster) -> (Setup, usize) {
     let setup = setup_on(name, DAEMONS, cluster);
+    let owner = await_owner(&setup);
+    (setup, owner)
+}
+
+/// Waits until the daemons know each other; returns the index of the owner of the service.
+pub fn await_owner(setup: &Setup) -> usize {
     let know_each_other = || {
         (0..DAEMONS).all(|daemon| {
             setup.has_logged(daemon, |line| {
@@ -29,8 +40,7 @@
         })
     };
     assert!(holds_within(CONDITION_TIMEOUT, know_each_other), "a daemon does not know the others");
-    let owner = find_owner(&setup);
-    (setup, owner)
+    find_owner(setup)
 }
 
 /// The daemon to which the others connect after a statement on each of them.
