--- a/crates/persimmon-interfaces/tests/forwarded.rs
+++ b/crates/persimmon-interfaces/tests/forwarded.rs
@@ -77,7 +77,7 @@
 fn older_table_restores_no_key_that_a_newer_one_removed() {
     let older = table(Some("amber"), false);
     let moved = older.clone().without_removed_keys(&table(Some("birch"), false));
-    let kept = older.clone().without_removed_keys(&table(Some("amber"), false));
+    let kept = older.without_removed_keys(&table(Some("amber"), false));
     let before_workspaces = table(None, false).without_removed_keys(&table(Some("amber"), false));
 
     assert!(moved.workspace(&route(false), ClientKey::digest(KEY)).is_err());
--- a/crates/persimmon-proxy/src/session/identity.rs
+++ b/crates/persimmon-proxy/src/session/identity.rs
@@ -10,6 +10,7 @@
 
 use persimmon_interfaces::{ErrorCode, Query, Route, Statement, Table, TxStatus};
 use persimmon_types::{Clock, Time};
+use persimmon_workspace::ClientKey;
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
@@ -88,9 +89,10 @@
     /// Refuses the session; returns false.
     fn refuse_start(&self, problem: IdentityProblem) -> bool {
         let table = self.table_version();
+        let database = self.shown_database();
         let reply = match problem {
             IdentityProblem::NoTable => refusal(ErrorCode::Busy, RETRY_AFTER),
-            IdentityProblem::NoRoute => error(ErrorCode::NoSuchDatabase, &self.database),
+            IdentityProblem::NoRoute => error(ErrorCode::NoSuchDatabase, database),
             IdentityProblem::UnknownKey | IdentityProblem::OtherWorkspace => {
                 Metrics::increment(&self.worker.metrics.unknown_keys);
                 error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT)
@@ -98,13 +100,18 @@
         };
         if self.worker.log.should_log(true) {
             match problem {
-                IdentityProblem::NoTable => tracing::warn!(database = %self.database,
-                    "session refused: no table has been received yet"),
-                IdentityProblem::NoRoute => tracing::info!(database = %self.database, table,
-                    "session refused: no route for the database"),
+                IdentityProblem::NoTable => {
+                    tracing::warn!(database, "session refused: no table has been received yet");
+                }
+                IdentityProblem::NoRoute => {
+                    tracing::info!(database, table, "session refused: no route for the database");
+                }
                 IdentityProblem::UnknownKey | IdentityProblem::OtherWorkspace => {
-                    tracing::info!(database = %self.database, table,
-                        "session refused: the key identifies no workspace");
+                    tracing::info!(
+                        database,
+                        table,
+                        "session refused: the key identifies no workspace"
+                    );
                 }
             }
         }
@@ -112,6 +119,15 @@
         false
     }
 
+    /// The database's name for a log line or an error text; a client may have sent its key in its place.
+    fn shown_database(&self) -> &str {
+        let snapshot = self.worker.snapshot();
+        let workspaces = snapshot.table.as_ref().and_then(|t| t.workspaces.as_ref());
+        let is_key =
+            workspaces.is_some_and(|w| w.find(ClientKey::digest(&self.database)).is_some());
+        if is_key { "(a key)" } else { &self.database }
+    }
+
     /// The route of the session's database in the active table.
     pub(super) fn route(&self) -> Option<Arc<Route>> {
         self.worker.snapshot().table.as_ref()?.routes.get(&self.database).cloned()
@@ -155,7 +171,7 @@
                     tracing::info!(id = %query.id, database = %self.database,
                         table = self.table_version(), ?problem,
                         has_transaction = !matches!(self.tx, Tx::None),
-                        "not run: the session's key was removed");
+                        "not run: the session's key does not identify its workspace");
                 }
                 Some(self.refuse_key(query))
             }
@@ -177,7 +193,10 @@
         self.rollback_detached();
         self.tx = if is_commit { Tx::None } else { Tx::Failed };
         self.send(&[
-            error(ErrorCode::Aborted, "the session's key was removed; nothing is kept"),
+            error(
+                ErrorCode::Aborted,
+                "the key does not identify the workspace any more; nothing is kept",
+            ),
             ready(self.status(), None),
         ]);
         true
--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -40,6 +40,8 @@
     odd_entries: bool,
     /// also accept calls and never answer them, and refuse session state
     unanswered: bool,
+    /// also let clients need keys, some of which come and go
+    keys: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -58,6 +60,7 @@
             has_restores: args.restores,
             has_odd_entries: args.odd_entries,
             has_unanswered_calls: args.unanswered,
+            has_key_changes: args.keys,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -12,6 +12,7 @@
 };
 use rustix::process::Signal;
 
+use crate::keys::{CHANGING_KEYS, KeyLedger};
 use crate::plan::{Fault, Step};
 
 /// Added delay of all traffic of a slow instance.
@@ -48,6 +49,9 @@
     text
 };
 
+/// The version of the table with which a run starts, above those that the fake platform has written.
+const FIRST_VERSION: u64 = 3;
+
 /// A database that some versions of the table have a route for.
 pub(crate) const EXTRA_DATABASE: &str = "extra";
 
@@ -64,6 +68,9 @@
     extra_databases: &'static [&'static str],
     /// The latest copies of the store, oldest first.
     copies: VecDeque<StoreCopy>,
+    /// The keys that come and go, and the number of clients with keys of their own; `None` where no
+    /// client needs a key.
+    keys: Option<(Arc<KeyLedger>, u64)>,
     /// Client addresses of the running daemons, shared with the clients' threads.
     pub(crate) client_addresses: Arc<Mutex<Vec<SocketAddr>>>,
 }
@@ -79,18 +86,29 @@
 }
 
 impl Fleet {
-    pub(crate) fn start(cluster: LineCluster, log_dir: PathBuf, daemons: u16) -> io::Result<Self> {
+    /// Starts the daemons; with `keys`, the table has workspaces.
+    pub(crate) fn start(
+        cluster: LineCluster,
+        log_dir: PathBuf,
+        daemons: u16,
+        keys: Option<(Arc<KeyLedger>, u64)>,
+    ) -> io::Result<Self> {
         std::fs::create_dir_all(&log_dir)?;
+        if let Some((ledger, clients)) = &keys {
+            cluster.set_workspaces(ledger.workspaces(*clients));
+            cluster.put_table(FIRST_VERSION, &[]);
+        }
         let mut fleet = Self {
             cluster,
             log_dir,
             addresses: loopback_peer_addresses(daemons),
             daemons: Vec::new(),
             start_count: 0,
-            table_version: 2,
+            table_version: FIRST_VERSION,
             faults: StoreFaults::default(),
             extra_databases: &[],
             copies: VecDeque::new(),
+            keys,
             client_addresses: Arc::default(),
         };
         for index in 0..usize::from(daemons) {
@@ -171,6 +189,9 @@
 
     /// Starts a fault; returns the instance that it acts on, for [`Self::end_fault`].
     pub(crate) fn start_fault(&mut self, step: &Step) -> Option<(usize, usize)> {
+        if let Some((ledger, _)) = &self.keys {
+            ledger.begin_fault(step.fault);
+        }
         let index = step.target % self.daemons.len();
         match step.fault {
             Fault::KillDaemon => self.kill_daemon(index),
@@ -190,6 +211,7 @@
                 self.extra_databases = &[EXTRA_DATABASE][..step.target % 2];
                 self.cluster.put_table(self.table_version, self.extra_databases);
             }
+            Fault::ChangeKey => self.change_key(step),
             Fault::RestoreStore => {
                 self.set_faults(|f| f.is_unavailable = true);
                 if let Some(copy) = self.copies.get(step.target % self.copies.len().max(1)) {
@@ -206,6 +228,19 @@
         None
     }
 
+    /// Adds a client key to the table, or removes it.
+    fn change_key(&mut self, step: &Step) {
+        let Some((ledger, clients)) = &self.keys else {
+            return;
+        };
+        let key = CHANGING_KEYS[step.target % CHANGING_KEYS.len()];
+        ledger.toggle(key);
+        self.table_version += 1;
+        self.cluster.set_workspaces(ledger.workspaces(*clients));
+        self.cluster.put_table(self.table_version, self.extra_databases);
+        ledger.record_written(key);
+    }
+
     /// Lets all instances refuse the statements of one kind that change session state.
     fn refuse_state(&self, step: &Step) {
         let word = STATE_WORDS[step.target / 3 % STATE_WORDS.len()];
@@ -262,6 +297,14 @@
         step: &Step,
         target: Option<(usize, usize)>,
     ) -> io::Result<()> {
+        self.undo_fault(step, target)?;
+        if let Some((ledger, _)) = &self.keys {
+            ledger.end_fault(step.fault);
+        }
+        Ok(())
+    }
+
+    fn undo_fault(&mut self, step: &Step, target: Option<(usize, usize)>) -> io::Result<()> {
         match step.fault {
             Fault::KillDaemon | Fault::KillAll | Fault::StopDaemon => self.restart_missing()?,
             Fault::PauseDaemon => self.signal(step, Signal::CONT),
@@ -328,7 +371,11 @@
         for daemon in self.daemons.iter().flatten() {
             daemon.signal(Signal::CONT);
         }
-        self.restart_missing()
+        self.restart_missing()?;
+        if let Some((ledger, _)) = &self.keys {
+            ledger.end_all_faults();
+        }
+        Ok(())
     }
 
     /// Whether every daemon reports that it is ready. Restarts daemons that have exited, such as
--- a/crates/persimmon-soak/src/lib.rs
+++ b/crates/persimmon-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod changes;
 mod clients;
 mod fleet;
+mod keys;
 mod plan;
 mod run;
 
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -58,6 +58,8 @@
     RefuseState,
     /// Another writer stores an entry among those of the instances that no daemon can read.
     OddEntry,
+    /// A client key that the table lacks is added, or one that it holds is removed.
+    ChangeKey,
 }
 
 const FAULTS: [Fault; 20] = [
@@ -92,7 +94,10 @@
 /// The same for calls that are never answered and statements that are refused.
 const UNANSWERED_STREAM: u64 = 0x51_1e27;
 
-/// The faults of that stream.
+/// The same for changes of client keys.
+const KEY_STREAM: u64 = 0x6b_e75;
+
+/// The faults of the stream of unanswered calls.
 const UNANSWERED: [Fault; 3] =
     [Fault::StoreUnanswered, Fault::InstanceUnanswered, Fault::RefuseState];
 
@@ -161,6 +166,12 @@
         self.with_stream(&UNANSWERED, seed ^ UNANSWERED_STREAM, length)
     }
 
+    /// Adds client keys that come and go; the other faults of the seed stay the same.
+    #[must_use]
+    pub fn with_key_changes(self, seed: u64, length: Duration) -> Self {
+        self.with_stream(&[Fault::ChangeKey], seed ^ KEY_STREAM, length)
+    }
+
     /// Adds faults of some kinds from a stream of random numbers of their own.
     fn with_stream(mut self, faults: &[Fault], stream_seed: u64, length: Duration) -> Self {
         let mut rng = SmallRng::seed_from_u64(stream_seed);
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -10,6 +10,7 @@
 
 use crate::clients::{Client, OutcomeCounters};
 use crate::fleet::{EXTRA_DATABASE, Fleet};
+use crate::keys::{KeyClient, KeyLedger, TABLE_LIMIT, serves_held_keys};
 use crate::plan::{Plan, Step};
 
 /// How long the system may take to serve again after all faults have ended.
@@ -18,6 +19,12 @@
 /// How often the instances' directory entries are written.
 const DIRECTORY_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Clients that use the keys that come and go.
+const KEY_CLIENTS: u64 = 3;
+
+/// How long these clients check in calm, beyond the limit of a change.
+const CALM: Duration = Duration::from_secs(1);
+
 /// Interval between checks for due faults and for awaited conditions.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -41,6 +48,8 @@
     pub has_odd_entries: bool,
     /// Whether calls are accepted and never answered, and session state is refused.
     pub has_unanswered_calls: bool,
+    /// Whether clients need keys, some of which come and go.
+    pub has_key_changes: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -74,10 +83,16 @@
     if options.has_unanswered_calls {
         plan = plan.with_unanswered_calls(options.seed, options.length);
     }
+    let mut ledger = None;
+    if options.has_key_changes {
+        plan = plan.with_key_changes(options.seed, options.length);
+        ledger = Some(Arc::new(KeyLedger::new()));
+    }
     let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
         .with_max_connections(options.max_connections)
         .without_drain_check();
-    let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons)?;
+    let keys = ledger.clone().map(|ledger| (ledger, options.clients));
+    let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons, keys)?;
     let mut violations = Vec::new();
     if !wait(RECOVERY_LIMIT, || fleet.is_ready()) {
         violations.push("the daemons are not ready at the start".to_owned());
@@ -93,12 +108,31 @@
         let stop = Arc::clone(&stop);
         threads.push(std::thread::spawn(move || client.run(&stop)));
     }
+    for index in 0..KEY_CLIENTS {
+        let Some(ledger) = ledger.clone() else {
+            break;
+        };
+        let client_addresses = Arc::clone(&fleet.client_addresses);
+        let group = Arc::clone(&groups[0]);
+        let client = KeyClient::new(index, options.seed, ledger, group, client_addresses);
+        let stop = Arc::clone(&stop);
+        threads.push(std::thread::spawn(move || client.run(&stop)));
+    }
     run_plan(&mut fleet, &plan, options.length)?;
     fleet.heal()?;
     let healed = Instant::now();
     if !wait(RECOVERY_LIMIT, || accepts_writes_everywhere(&mut fleet, options.groups)) {
         violations.push(format!("a daemon does not serve {:?} after healing", healed.elapsed()));
     }
+    if let Some(ledger) = &ledger {
+        let healed = Instant::now();
+        if !wait(TABLE_LIMIT, || serve_held_keys(&fleet, ledger)) {
+            violations
+                .push(format!("a daemon serves other keys {:?} after healing", healed.elapsed()));
+        }
+        // The clients check in calm that this stays so.
+        std::thread::sleep(TABLE_LIMIT + CALM);
+    }
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
         if thread.join().is_err() {
@@ -155,6 +189,12 @@
     }
 }
 
+/// Whether every daemon serves exactly the keys that the latest table holds.
+fn serve_held_keys(fleet: &Fleet, ledger: &KeyLedger) -> bool {
+    let client_addresses = fleet.client_addresses.lock().map(|a| a.clone()).unwrap_or_default();
+    client_addresses.iter().all(|address| serves_held_keys(ledger, *address))
+}
+
 /// Whether every daemon accepts writes, by the latest table.
 fn accepts_writes_everywhere(fleet: &mut Fleet, groups: usize) -> bool {
     fleet.refresh_directory();
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -24,6 +24,7 @@
     Restores,
     OddEntries,
     UnansweredCalls,
+    KeyChanges,
 }
 
 fn check(seed: u64, length: Duration, max_connections: usize, added: Added) {
@@ -38,6 +39,7 @@
         has_restores: added == Added::Restores,
         has_odd_entries: added == Added::OddEntries,
         has_unanswered_calls: added == Added::UnansweredCalls,
+        has_key_changes: added == Added::KeyChanges,
         clients: 6,
         log_dir: std::env::temp_dir().join(name),
     };
@@ -74,6 +76,16 @@
     check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, Added::UnansweredCalls);
 }
 
+#[test]
+fn a_short_run_with_keys_that_come_and_go_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(8), MANY_CONNECTIONS, Added::KeyChanges);
+}
+
+#[test]
+fn a_short_run_with_an_owner_and_keys_that_come_and_go_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(8), FEW_CONNECTIONS, Added::KeyChanges);
+}
+
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
--- a/crates/persimmond/tests/key_confidentiality.rs
+++ b/crates/persimmond/tests/key_confidentiality.rs
@@ -11,7 +11,7 @@
 
 use crate::fleet::keys::{FIRST_VERSION, is_active_everywhere, proxied_fleet, workspaces};
 use crate::fleet::owners::{DAEMONS, other_than};
-use crate::fleet::{CONDITION_TIMEOUT, holds_within};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within};
 
 /// The length of a part of a key that must not appear either.
 const PART: usize = 8;
@@ -44,6 +44,36 @@
     body
 }
 
+/// Requests the table from a daemon in the form of its peers, as daemons that follow a watcher do; what
+/// the daemon answers passes its proxy.
+fn request_table(peers: SocketAddr) -> usize {
+    let request = json!({"Request": {
+        "context": {
+            "deadline": {"secs": 5, "nanos": 0},
+            "trace_context": {"trace_id": vec![0; 16], "span_id": 1, "sampling_decision": "Unsampled"},
+        },
+        "id": 1,
+        "message": {"Changes": {"kind": "Table", "revision": [0, 0]}},
+    }});
+    let body = request.to_string();
+    let mut stream = TcpStream::connect(peers).expect("a peer");
+    stream.set_read_timeout(Some(CONDITION_TIMEOUT)).expect("a timeout is set");
+    let length = u32::try_from(body.len()).expect("a short message").to_be_bytes();
+    stream.write_all(&[&length, body.as_bytes()].concat()).expect("the request is sent");
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).expect("a response");
+    let mut response = vec![0; usize::try_from(u32::from_be_bytes(length)).expect("a length")];
+    stream.read_exact(&mut response).expect("a whole response");
+    response.len()
+}
+
+/// Lets every daemon pass its table on.
+fn request_tables(setup: &Setup) {
+    for daemon in &setup.daemons {
+        assert!(request_table(daemon.addresses.peers) > 100, "a daemon passes no table on");
+    }
+}
+
 #[test]
 fn no_key_appears_in_logs_metrics_errors_or_messages_between_daemons() {
     let fleet = proxied_fleet("ws-secret", &[("amber", &[VALID, REMOVED])]);
@@ -57,6 +87,10 @@
         let mut client = open(daemon, VALID).expect("the key is known");
         assert!(client.query("WRITE item x").expect("a response").result.is_ok());
         errors.push(open(daemon, UNKNOWN).expect_err("the key is unknown").to_string());
+        // A client that sends the two words in the wrong order.
+        let address = setup.daemons[daemon].addresses.clients;
+        let swapped = LineClient::open_with_key(address, VALID, "p0", "c");
+        errors.push(swapped.expect_err("no such database").to_string());
     }
 
     // Versions with keys where no key belongs, and one that no daemon can read.
@@ -72,12 +106,14 @@
     setup.cluster.put_table(FIRST_VERSION + 1, &[]);
     let is_first = || is_active_everywhere(setup, FIRST_VERSION + 1);
     assert!(holds_within(Duration::from_secs(3), is_first));
+    request_tables(setup);
     let response = removed.query("WRITE item x").expect("a response");
     errors.push(format!("{response:?}"));
     setup.cluster.set_workspaces(json!(MISPLACED));
     setup.cluster.put_table(FIRST_VERSION + 2, &[]);
     let is_second = || is_active_everywhere(setup, FIRST_VERSION + 2);
     assert!(holds_within(Duration::from_secs(3), is_second));
+    request_tables(setup);
     setup.cluster.store.put_raw(
         "config",
         "main",
@@ -91,6 +127,7 @@
         })
     };
     assert!(holds_within(Duration::from_secs(3), is_refused));
+    request_tables(setup);
 
     for (index, daemon) in setup.daemons.iter().enumerate() {
         let log = std::fs::read(&daemon.log).expect("the log is read");
