--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons as separate processes against a fake platform, for the tests of the line protocol.
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+pub mod crowd;
 pub mod owners;
 
 use std::net::SocketAddr;
@@ -66,12 +67,21 @@
 
 /// Starts daemons in front of a fake platform.
 pub fn setup_on(name: &str, count: usize, cluster: LineCluster) -> Setup {
+    setup_with_limits(name, count, cluster, "")
+}
+
+/// The same with further text for the settings, such as the section `[limits]`.
+pub fn setup_with_limits(name: &str, count: usize, cluster: LineCluster, limits: &str) -> Setup {
     let stores = vec![cluster.store_proxy.address; count];
-    setup_with_stores(name, cluster, stores)
+    start_daemons(name, cluster, stores, limits)
 }
 
 /// Starts daemons in front of a fake platform; each reaches the store at an address of its own.
 pub fn setup_with_stores(name: &str, cluster: LineCluster, stores: Vec<SocketAddr>) -> Setup {
+    start_daemons(name, cluster, stores, "")
+}
+
+fn start_daemons(name: &str, cluster: LineCluster, stores: Vec<SocketAddr>, limits: &str) -> Setup {
     let count = stores.len();
     let folder = TempFolder::new(name);
     let mut daemons: Vec<Daemon> = Vec::new();
@@ -82,6 +92,7 @@
     for (number, (peers, store)) in addresses.iter().zip(stores).enumerate() {
         let name = format!("d{number}");
         let settings = cluster.settings(&name, *peers, seeds).replace(&common, &store.to_string());
+        let settings = format!("{settings}{limits}");
         daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
     }
     assert!(
--- a/crates/persimmond/tests/fleet/owners.rs
+++ b/crates/persimmond/tests/fleet/owners.rs
@@ -2,7 +2,7 @@
 
 use persimmon_lab::line_cluster::{InstanceProfile, LineCluster};
 
-use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_on};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_with_limits};
 
 /// A connection limit below the number of daemons of these tests.
 pub const FEW_CONNECTIONS: usize = 6;
@@ -17,10 +17,19 @@
 
 /// The same with the given profile of the instances.
 pub fn setup_with_profile(name: &str, profile: InstanceProfile) -> (Setup, usize) {
+    setup_with_owner_and_limits(name, profile, "")
+}
+
+/// The same with further text for the settings, such as the section `[limits]`.
+pub fn setup_with_owner_and_limits(
+    name: &str,
+    profile: InstanceProfile,
+    limits: &str,
+) -> (Setup, usize) {
     let cluster = LineCluster::start(1, 3, profile)
         .expect("the fake platform starts")
         .with_max_connections(FEW_CONNECTIONS);
-    let setup = setup_on(name, DAEMONS, cluster);
+    let setup = setup_with_limits(name, DAEMONS, cluster, limits);
     let know_each_other = || {
         (0..DAEMONS).all(|daemon| {
             setup.has_logged(daemon, |line| {
