Limit the sessions, messages, unread answers and forwarded statements of a host

Clients could take any number of descriptors and any memory: sessions were not limited, answers were written to clients that do not read, a read buffer kept the size of the largest message, and running or forwarded texts were not counted. A session now waits for its client to read, and sessions are closed for room by what they wait for.

--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -25,6 +25,7 @@
     ContinueReply, ContinueRequest, ExecuteReply, ExecuteRequest, ForwardService, Refusal, frame,
 };
 use crate::forwarding::wire::ReceivedStatement;
+use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
 use crate::statement_job::{Execution, ExecutionMode};
 use crate::traffic::{ShutdownStage, Worker};
@@ -116,6 +117,12 @@
             return Err(Refusal::Draining);
         }
         let received = ReceivedStatement::from(request.statement);
+        let share = MemoryShare::new(Rc::clone(&worker.forwarded_budget));
+        if !share.record(received.bytes()) {
+            self.refuse_for_memory(&received, share.total());
+            let execution = Execution::new(ExecutionMode::from(request.mode));
+            return Ok(ExecuteReply::from(execution.refused(ErrorCode::Busy)));
+        }
         if worker.snapshot().instances(&received.route.service).is_empty() {
             return Err(Refusal::UnknownService);
         }
@@ -143,10 +150,15 @@
             return Err(Refusal::UnknownTransaction);
         };
         let received = ReceivedStatement::from(request.statement);
+        let share = MemoryShare::new(Rc::clone(&self.worker.forwarded_budget));
+        let has_room = share.record(received.bytes());
+        if !has_room {
+            self.refuse_for_memory(&received, share.total());
+        }
         let instance = Arc::clone(transaction.instance());
         let mut job = received.job();
         job.deadline = self.worker.limit_deadline(job.deadline);
-        let step = if self.worker.may_start(received.route.statement_timeout) {
+        let step = if has_room && self.worker.may_start(received.route.statement_timeout) {
             transaction.execute(&job, request.has_written).await
         } else {
             TransactionStep::not_sent()
@@ -167,6 +179,14 @@
         Ok(ContinueReply::from(step))
     }
 
+    fn refuse_for_memory(&self, received: &ReceivedStatement, total_bytes: usize) {
+        Metrics::increment(&self.worker.metrics.forwarded_refused);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %received.id(), caller = %self.caller, bytes = received.bytes(),
+                total_bytes, "not run: forwarded statements occupy too much memory");
+        }
+    }
+
     fn log(&self, received: &ReceivedStatement, execution: &Execution, took: Duration) {
         let code = match &execution.result {
             Ok(answer) => answer.code().cloned(),
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -173,6 +173,12 @@
         &self.query.id
     }
 
+    /// The size of its text and of its session's values, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        let values: usize = self.variables.iter().map(|(name, v)| name.len() + v.len()).sum();
+        self.query.text.len() + values
+    }
+
     /// The statement as a job of this daemon.
     pub(crate) fn job(&self) -> StatementJob<'_> {
         StatementJob {
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod active_table;
 mod adapter;
+mod client_limits;
 mod connection;
 mod control;
 mod directory;
@@ -44,6 +45,10 @@
 
 pub use active_table::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 pub use adapter::{Adapter, PlatformClients};
+pub use client_limits::{
+    ANSWER_TIMEOUT, ClientLimits, MESSAGE_TIMEOUT, Phase, SessionView, session_to_close,
+    unread_to_close,
+};
 pub use directory::{Directory, EntryVersion};
 pub use drain::ShutdownSchedule;
 pub use drain_notices::DrainNotice;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -72,6 +72,18 @@
     sessions_opened,
     /// Sessions ended.
     sessions_closed,
+    /// Clients refused because too many sessions are open.
+    sessions_refused,
+    /// Sessions closed so that other clients can open one.
+    sessions_closed_for_room,
+    /// Sessions closed because their clients took too long to send a message.
+    sessions_closed_half_message,
+    /// Sessions closed because their clients do not read answers.
+    sessions_closed_unread,
+    /// Messages refused because those of all sessions occupy too much memory.
+    messages_refused,
+    /// Forwarded statements refused because those of all daemons occupy too much memory.
+    forwarded_refused,
     /// Sessions and statements refused because the key identifies no workspace.
     unknown_keys,
     /// Values and prepared statements of sessions refused for their size or number.
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -5,6 +5,9 @@
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
 
+mod codec;
+mod flow;
+pub(crate) mod registry;
 pub(crate) mod state;
 mod statements;
 
@@ -13,19 +16,21 @@
 use std::time::Duration;
 
 use futures::FutureExt;
-use ntex::codec::Decoder;
 use ntex::io::Io;
 use ntex::util::BytesMut;
 use persimmon_interfaces::{
-    ClientMessage, ClientProtocol, ErrorCode, ProtocolError, Query, Reply, Route, Statement,
-    TxStatus, UnknownKey,
+    ClientMessage, ErrorCode, ProtocolError, Query, Reply, Route, Statement, TxStatus, UnknownKey,
 };
 use persimmon_types::{Clock, Position, Time};
 use persimmon_workspace::ClientKey;
 
+use crate::client_limits::Phase;
 use crate::connection::Answer;
 use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
+use crate::session::codec::ClientCodec;
+pub(crate) use crate::session::flow::refuse;
+use crate::session::registry::Entry;
 use crate::session::state::{SessionState, StateLimit};
 use crate::statement_job::{Caller, RETRY_AFTER};
 use crate::traffic::{ShutdownStage, Worker};
@@ -43,23 +48,6 @@
 /// What a client with an unknown key is told.
 const UNKNOWN_KEY_TEXT: &str = "the key identifies no workspace";
 
-#[derive(Debug)]
-struct ClientCodec {
-    protocol: Arc<dyn ClientProtocol>,
-    share: MemoryShare,
-}
-
-impl Decoder for ClientCodec {
-    type Item = ClientMessage;
-    type Error = ProtocolError;
-
-    fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError> {
-        let decoded = self.protocol.decode(src)?;
-        let incomplete = if decoded.is_some() { 0 } else { src.len() };
-        if self.share.record(incomplete) { Ok(decoded) } else { Err(ProtocolError::NoRoom) }
-    }
-}
-
 /// The client's transaction.
 enum Tx {
     None,
@@ -104,11 +92,13 @@
 }
 
 /// Serves one client until either side ends the session.
-pub(crate) async fn serve(worker: Rc<Worker>, io: Io) {
-    let codec = ClientCodec {
-        protocol: Arc::clone(&worker.client_protocol),
-        share: MemoryShare::new(Rc::clone(&worker.receive_budget)),
-    };
+pub(crate) async fn serve(worker: Rc<Worker>, io: Io, entry: Rc<Entry>) {
+    serve_entry(&worker, io, &entry).await;
+    worker.open_sessions.remove(&entry);
+}
+
+async fn serve_entry(worker: &Rc<Worker>, io: Io, entry: &Rc<Entry>) {
+    let codec = ClientCodec::new(worker, Rc::clone(entry));
     let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
     let Ok(Ok(Some(ClientMessage::Open { database, key }))) = opened else {
         return;
@@ -116,7 +106,7 @@
     Metrics::increment(&worker.metrics.sessions_opened);
     worker.sessions.set(worker.sessions.get() + 1);
     let mut session = Session {
-        worker: Rc::clone(&worker),
+        worker: Rc::clone(worker),
         io,
         codec,
         database,
@@ -151,9 +141,18 @@
             if handled.is_multiple_of(MESSAGES_PER_TURN) {
                 tokio::task::yield_now().await;
             }
+            self.codec.entry.set_phase(self.waiting_phase(handled));
             match self.wake().await {
                 Wake::Message(ClientMessage::Query(query)) => {
-                    if !self.query(&query).await {
+                    self.codec.entry.set_phase(Phase::Busy);
+                    let continues = if self.codec.holds(&query) {
+                        self.query(&query).await
+                    } else {
+                        self.refuse_for_memory(&query)
+                    };
+                    drop(query);
+                    self.codec.release();
+                    if !continues || !self.await_reader().await {
                         return;
                     }
                 }
--- /dev/null
+++ b/crates/persimmon-proxy/src/session/codec.rs
@@ -0,0 +1,70 @@
+//! Receives a client's messages, and counts what they occupy.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use ntex::codec::Decoder;
+use ntex::util::BytesMut;
+use persimmon_interfaces::{ClientMessage, ClientProtocol, ProtocolError, Query};
+
+use crate::client_limits::Phase;
+use crate::memory_budget::MemoryShare;
+use crate::session::registry::Entry;
+use crate::traffic::Worker;
+
+/// Unused capacity from which on a read buffer is replaced by a smaller one, in bytes.
+const MAX_UNUSED_CAPACITY: usize = 64 << 10;
+
+/// Decodes the messages of one client.
+#[derive(Debug)]
+pub(super) struct ClientCodec {
+    pub(super) protocol: Arc<dyn ClientProtocol>,
+    pub(super) entry: Rc<Entry>,
+    share: MemoryShare,
+}
+
+impl ClientCodec {
+    /// Creates the codec of a session.
+    pub(super) fn new(worker: &Worker, entry: Rc<Entry>) -> Self {
+        Self {
+            protocol: Arc::clone(&worker.client_protocol),
+            entry,
+            share: MemoryShare::new(Rc::clone(&worker.message_budget)),
+        }
+    }
+
+    /// Counts a request as held until [`Self::release`]; returns whether there is room for it.
+    pub(super) fn holds(&self, query: &Query) -> bool {
+        self.share.record(query.text.len())
+    }
+
+    /// Counts nothing as held.
+    pub(super) fn release(&self) {
+        self.share.record(0);
+    }
+
+    /// The bytes that the messages of all sessions occupy.
+    pub(super) fn total(&self) -> usize {
+        self.share.total()
+    }
+}
+
+impl Decoder for ClientCodec {
+    type Item = ClientMessage;
+    type Error = ProtocolError;
+
+    fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError> {
+        let decoded = self.protocol.decode(src)?;
+        if decoded.is_some() {
+            // The rest would keep the buffer of a large message.
+            if src.capacity() > src.len() + MAX_UNUSED_CAPACITY {
+                *src = BytesMut::copy_from_slice(&src[..]);
+            }
+            return Ok(decoded);
+        }
+        if !src.is_empty() && self.entry.phase() != Phase::Starting {
+            self.entry.set_phase(Phase::HalfMessage);
+        }
+        if self.share.record(src.len()) { Ok(None) } else { Err(ProtocolError::NoRoom) }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -0,0 +1,66 @@
+//! What a session does when there is no room for its messages, or its client does not read.
+
+use std::future::poll_fn;
+
+use ntex::util::BytesMut;
+use persimmon_interfaces::{ErrorCode, Query, Statement};
+use tokio::net::TcpStream;
+
+use crate::client_limits::Phase;
+use crate::metrics::Metrics;
+use crate::session::{Session, Tx, ready, refusal};
+use crate::statement_job::RETRY_AFTER;
+use crate::traffic::Worker;
+
+/// Refuses a client for which there is no room.
+pub(crate) fn refuse(worker: &Worker, stream: &TcpStream) {
+    let mut buf = BytesMut::with_capacity(64);
+    worker.client_protocol.encode(&refusal(ErrorCode::Busy, RETRY_AFTER), &mut buf);
+    // The connection is closed whether or not the client learns why.
+    let _ = stream.try_write(&buf);
+}
+
+impl Session {
+    /// What the session waits for before its next request, of which `handled` counts the number.
+    pub(super) fn waiting_phase(&self, handled: u32) -> Phase {
+        match self.tx {
+            Tx::Open { .. } => Phase::Busy,
+            Tx::None if handled <= 1 => Phase::Unused,
+            Tx::None | Tx::Begun { .. } | Tx::Failed => Phase::Idle,
+        }
+    }
+
+    /// Refuses a request because messages occupy too much memory; returns whether the session
+    /// continues.
+    pub(super) fn refuse_for_memory(&mut self, query: &Query) -> bool {
+        let metrics = &self.worker.metrics;
+        Metrics::increment(&metrics.messages_refused);
+        Metrics::increment(&metrics.statements_not_run);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %query.id, database = %self.database, bytes = query.text.len(),
+                total_bytes = self.codec.total(), "not run: messages occupy too much memory");
+        }
+        let has_transaction = !matches!(self.tx, Tx::None);
+        let code = if has_transaction { ErrorCode::Aborted } else { ErrorCode::Busy };
+        self.rollback_detached();
+        let is_commit = query.statement == Statement::Commit;
+        self.tx = if has_transaction && !is_commit { Tx::Failed } else { Tx::None };
+        self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
+        true
+    }
+
+    /// Waits until the client has read enough of its answers; returns whether the connection is
+    /// still open. A client that takes too long is closed by the sweep of sessions.
+    pub(super) async fn await_reader(&self) -> bool {
+        let unread = self.io.with_write_dst_buf(|buf| buf.len());
+        if unread < self.io.cfg().write_buf().high {
+            return true;
+        }
+        let entry = &self.codec.entry;
+        entry.set_phase(Phase::Unread);
+        self.worker.open_sessions.record_unread(entry, unread, &self.worker.log);
+        let flushed = poll_fn(|cx| self.io.poll_flush(cx, false)).await;
+        self.worker.open_sessions.record_unread(entry, 0, &self.worker.log);
+        flushed.is_ok()
+    }
+}
--- a/crates/persimmon-proxy/src/settings.rs
+++ b/crates/persimmon-proxy/src/settings.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::client_limits::ClientLimits;
+
 /// Part of a host's memory for the values and prepared statements of sessions.
 const SESSION_STATE_PART: usize = 8;
 
@@ -52,6 +54,8 @@
     pub peer_bind: Option<IpAddr>,
     /// Processor capacity of the host, in thousandths of a core.
     pub capacity: u32,
+    /// What clients may occupy.
+    pub client_limits: ClientLimits,
     /// Maximum size of the values and prepared statements of one session, in bytes.
     pub session_state_limit: usize,
     /// The same of all sessions together.
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -29,6 +29,7 @@
 use crate::relay::{Relay, RelayedKind};
 use crate::sampling::{LatestSamples, SamplerClients};
 use crate::session;
+use crate::session::registry::Sessions;
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
 use crate::socket;
@@ -45,10 +46,6 @@
 /// Pause after the listener failed, such as when out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Memory for incomplete messages of clients, in bytes: some of the largest messages, and a fraction
-/// of the smallest host's memory.
-const MAX_INCOMPLETE_BYTES: usize = 16 << 20;
-
 /// Tells the control thread that a statement failed at a primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Suspicion {
@@ -93,8 +90,12 @@
     pub(crate) links: Links,
     /// What this daemon holds for others.
     pub(crate) held: HeldCount,
-    /// Memory for incomplete messages of clients.
-    pub(crate) receive_budget: Rc<MemoryBudget>,
+    /// The open sessions.
+    pub(crate) open_sessions: Sessions,
+    /// Memory for messages of clients that are incomplete or whose statements run.
+    pub(crate) message_budget: Rc<MemoryBudget>,
+    /// Memory for statements that other daemons forward.
+    pub(crate) forwarded_budget: Rc<MemoryBudget>,
     /// Memory for the values and prepared statements of sessions.
     pub(crate) state_budget: Rc<MemoryBudget>,
     relay: Arc<Relay>,
@@ -120,6 +121,7 @@
 impl Worker {
     /// Creates the state of the thread.
     pub(crate) fn new(parts: Parts) -> Self {
+        let limits = parts.settings.client_limits;
         Self {
             pool: Rc::new(Pool::new(
                 parts.instance_protocol,
@@ -131,7 +133,9 @@
             samplers: SamplerClients::default(),
             links: Links::new(Arc::clone(&parts.metrics)),
             held: HeldCount::default(),
-            receive_budget: Rc::new(MemoryBudget::new(MAX_INCOMPLETE_BYTES)),
+            open_sessions: Sessions::new(limits, Arc::clone(&parts.metrics)),
+            message_budget: Rc::new(MemoryBudget::new(limits.message_bytes)),
+            forwarded_budget: Rc::new(MemoryBudget::new(limits.forwarded_bytes)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
@@ -217,9 +221,14 @@
                     continue;
                 }
             };
+            if !accepting.open_sessions.make_room(&accepting.log) {
+                session::refuse(&accepting, &stream);
+                continue;
+            }
             match socket::configure(stream, false) {
                 Ok(io) => {
-                    ntex::rt::spawn(session::serve(Rc::clone(&accepting), io));
+                    let entry = accepting.open_sessions.add(&io);
+                    ntex::rt::spawn(session::serve(Rc::clone(&accepting), io, entry));
                 }
                 Err(err) => tracing::debug!(error = %err, "client connection setup failed"),
             }
@@ -241,6 +250,7 @@
                 |id: &str| snapshot.services.values().flatten().any(|e| &*e.instance.id == id);
             sweeping.pool.close_idle(Clock.now(), is_listed);
             sweeping.reachability.retain(is_listed);
+            sweeping.open_sessions.close_overdue(Clock.now(), &sweeping.log);
         }
     });
     Ok(())
