Client limits: unit tests, an ordinary crowd, and one decoding of a long message's pieces

A client that sends 1 MiB in pieces had the daemon search the whole message for each piece. Waiting for a client to read no longer outlasts the idle limit of its transaction or a shutdown.

--- a/crates/persimmon-interfaces/src/protocol.rs
+++ b/crates/persimmon-interfaces/src/protocol.rs
@@ -219,6 +219,12 @@
     /// Returns an error if the bytes violate the protocol.
     fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError>;
 
+    /// Whether `src`, whose first `seen` bytes are an incomplete message, may hold a complete one or
+    /// violate the protocol. It spares decoding a long message again for each of its pieces.
+    fn may_be_complete(&self, _src: &[u8], _seen: usize) -> bool {
+        true
+    }
+
     /// Appends the encoded message to `dst`.
     fn encode(&self, reply: &Reply, dst: &mut BytesMut);
 }
--- a/crates/persimmon-proxy/src/client_limits.rs
+++ b/crates/persimmon-proxy/src/client_limits.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariants:
 //!
-//! - A session whose statement runs, or that has an open transaction, is never closed for room.
+//! - A session whose statement runs, or that has a transaction open on an instance, is closed only if
+//!   its client does not read answers.
 //! - No client that waits for each answer, and sends and reads at the rate of its connection, meets
 //!   a limit.
 
--- a/crates/persimmon-proxy/src/session/codec.rs
+++ b/crates/persimmon-proxy/src/session/codec.rs
@@ -1,5 +1,6 @@
 //! Receives a client's messages, and counts what they occupy.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -21,6 +22,8 @@
     pub(super) protocol: Arc<dyn ClientProtocol>,
     pub(super) entry: Rc<Entry>,
     share: MemoryShare,
+    /// Bytes of the incomplete message that were decoded before.
+    seen: Cell<usize>,
 }
 
 impl ClientCodec {
@@ -30,6 +33,7 @@
             protocol: Arc::clone(&worker.client_protocol),
             entry,
             share: MemoryShare::new(Rc::clone(&worker.message_budget)),
+            seen: Cell::new(0),
         }
     }
 
@@ -54,15 +58,19 @@
     type Error = ProtocolError;
 
     fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError> {
-        let decoded = self.protocol.decode(src)?;
+        let seen = self.seen.replace(src.len());
+        let may_decode = seen == 0 || self.protocol.may_be_complete(src, seen);
+        let decoded = if may_decode { self.protocol.decode(src)? } else { None };
         if decoded.is_some() {
+            self.seen.set(0);
             // The rest would keep the buffer of a large message.
             if src.capacity() > src.len() + MAX_UNUSED_CAPACITY {
                 *src = BytesMut::copy_from_slice(&src[..]);
             }
             return Ok(decoded);
         }
-        if !src.is_empty() && self.entry.phase() != Phase::Starting {
+        // A session with an open transaction stays busy; its idle limit bounds the wait.
+        if !src.is_empty() && matches!(self.entry.phase(), Phase::Unused | Phase::Idle) {
             self.entry.set_phase(Phase::HalfMessage);
         }
         if self.share.record(src.len()) { Ok(None) } else { Err(ProtocolError::NoRoom) }
--- a/crates/persimmon-proxy/src/session/flow.rs
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -1,6 +1,7 @@
 //! What a session does when there is no room for its messages, or its client does not read.
 
 use std::future::poll_fn;
+use std::rc::Rc;
 
 use ntex::util::BytesMut;
 use persimmon_interfaces::{ErrorCode, Query, Statement};
@@ -10,7 +11,7 @@
 use crate::metrics::Metrics;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::RETRY_AFTER;
-use crate::traffic::Worker;
+use crate::traffic::{ShutdownStage, Worker};
 
 /// Refuses a client for which there is no room.
 pub(crate) fn refuse(worker: &Worker, stream: &TcpStream) {
@@ -49,18 +50,43 @@
         true
     }
 
-    /// Waits until the client has read enough of its answers; returns whether the connection is
-    /// still open. A client that takes too long is closed by the sweep of sessions.
-    pub(super) async fn await_reader(&self) -> bool {
+    /// Waits until the client has read enough of its answers; returns whether the session continues. A
+    /// client that takes too long is closed by the sweep of sessions.
+    pub(super) async fn await_reader(&mut self) -> bool {
         let unread = self.io.with_write_dst_buf(|buf| buf.len());
         if unread < self.io.cfg().write_buf().high {
             return true;
         }
-        let entry = &self.codec.entry;
+        let worker = Rc::clone(&self.worker);
+        let entry = Rc::clone(&self.codec.entry);
         entry.set_phase(Phase::Unread);
-        self.worker.open_sessions.record_unread(entry, unread, &self.worker.log);
-        let flushed = poll_fn(|cx| self.io.poll_flush(cx, false)).await;
-        self.worker.open_sessions.record_unread(entry, 0, &self.worker.log);
-        flushed.is_ok()
+        worker.open_sessions.record_unread(&entry, unread, &worker.log);
+        let continues = self.flush().await;
+        worker.open_sessions.record_unread(&entry, 0, &worker.log);
+        continues
+    }
+
+    async fn flush(&mut self) -> bool {
+        let mut stage = self.worker.stage.clone();
+        loop {
+            if *stage.borrow_and_update() >= ShutdownStage::AbortingTransactions {
+                return false;
+            }
+            let idle_left = self.idle_time_left();
+            let flushed = tokio::select! {
+                biased;
+                flushed = poll_fn(|cx| self.io.poll_flush(cx, false)) => Some(flushed.is_ok()),
+                _ = stage.changed() => None,
+                () = tokio::time::sleep(idle_left.unwrap_or_default()), if idle_left.is_some() => {
+                    None
+                }
+            };
+            if let Some(is_open) = flushed {
+                return is_open;
+            }
+            if self.idle_time_left().is_some_and(|left| left.is_zero()) {
+                self.end_idle_transaction();
+            }
+        }
     }
 }
--- a/crates/persimmond/tests/uncontrolled_clients.rs
+++ b/crates/persimmond/tests/uncontrolled_clients.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineCluster};
+use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
 
 use crate::fleet::crowd::{Crowd, Manner, descriptors, memory_kb, serves};
 use crate::fleet::owners::{DAEMONS, setup_with_owner_and_limits};
@@ -36,6 +36,9 @@
 /// Members of a crowd that is larger than the host's descriptors.
 const WIDE_CROWD: usize = 600;
 
+/// Sessions on a small host after others were lost.
+const SMALL_HOST_SESSIONS: usize = 500;
+
 /// One test at a time: each measures a process under a crowd.
 static TURN: Mutex<()> = Mutex::new(());
 
@@ -202,6 +205,35 @@
     withstand("wide", &same(WIDE_CROWD, ""), Manner::default());
 }
 
+/// Guards against limits that clients within the platform's pages meet on its smallest host.
+#[test]
+fn ordinary_clients_meet_no_limit() {
+    let _turn = turn();
+    let limits = "[limits]\nmemory_mb = 112\nmax_fds = 3010\n";
+    let cluster = LineCluster::start(1, 3, InstanceProfile::default());
+    let setup = setup_with_limits("ordinary", 1, cluster.expect("the platform starts"), limits);
+    let mut clients: Vec<LineClient> =
+        (0..SMALL_HOST_SESSIONS).map(|n| setup.client(0, "r0", &format!("c{n}"))).collect();
+
+    for client in &mut clients {
+        let response = client.query("READ item").expect("a response");
+        assert!(response.result.is_ok(), "{response:?}");
+    }
+    let largest = format!("WRITE item {}", "x".repeat((1 << 20) - 100));
+    let response = clients[0].query(&largest).expect("a response");
+    assert!(response.result.is_ok(), "{:?}", response.code());
+    let read = clients[0].query("READ item").expect("a response");
+    assert_eq!(read.rows.first().map(String::len), Some((1 << 20) - 100));
+    assert_eq!(clients[1].query("BEGIN").expect("a response").state, "T");
+    for number in 0..12 {
+        let text = format!("WRITE item{number} {}", "x".repeat(80_000));
+        assert_eq!(clients[1].query(&text).expect("a response").state, "T");
+    }
+    assert!(clients[1].query("COMMIT").expect("a response").result.is_ok());
+
+    setup.assert_no_violations();
+}
+
 /// Guards against an owner that holds the statements of all other daemons at once.
 #[test]
 fn large_statements_that_daemons_forward_to_an_owner() {
