--- a/crates/persimmond/tests/uncontrolled_clients.rs
+++ b/crates/persimmond/tests/uncontrolled_clients.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
+use persimmon_lab::line_cluster::{
+    Daemon, InstanceProfile, LineClient, LineCluster, forwarding_address,
+};
 
 use crate::fleet::crowd::{Crowd, Manner, descriptors, memory_kb, serves};
 use crate::fleet::owners::{DAEMONS, setup_with_owner_and_limits};
@@ -261,3 +263,21 @@
     drop(crowds);
     setup.assert_no_violations();
 }
+
+/// Guards against statements of many daemons that arrive at an owner at the same time, each of which
+/// is incomplete.
+#[test]
+fn half_frames_of_many_daemons() {
+    let _turn = turn();
+    let mut setup = small_host("half-frames");
+    let length = u32::try_from(LARGE + 1).expect("a short frame").to_be_bytes();
+    let half: Arc<[u8]> = [&length[..], &vec![b'x'; LARGE]].concat().into();
+    let address = forwarding_address(setup.daemons[0].addresses.peers);
+    let mut crowd = Crowd::connect(address, &vec![half; LARGE_CROWD]);
+
+    crowd.drive(&setup.daemons[0], Manner::default());
+
+    assert_withstands(&mut setup.daemons[0], crowd.peak_descriptors);
+    drop(crowd);
+    setup.assert_no_violations();
+}
