Receive large messages of other daemons only as far as there is room

An owner received a message of each daemon at the same time, and each connection kept the buffer of its largest message.

--- a/crates/persimmon-proxy/src/client_limits.rs
+++ b/crates/persimmon-proxy/src/client_limits.rs
@@ -44,6 +44,9 @@
 /// Part of a host's memory for statements that other daemons forward.
 const FORWARDED_PART: usize = 8;
 
+/// Part of a host's memory for large messages of other daemons that are incomplete.
+const FRAMES_PART: usize = 16;
+
 /// How long a client may take to send the rest of a message: 1 MiB on a connection of 10 Mbit/s that
 /// a dozen clients share.
 pub const MESSAGE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -75,6 +78,8 @@
     pub unread_bytes: usize,
     /// Texts of statements that other daemons forward, in bytes.
     pub forwarded_bytes: usize,
+    /// Large messages of other daemons that are incomplete, in bytes.
+    pub frame_bytes: usize,
 }
 
 impl ClientLimits {
@@ -90,6 +95,7 @@
             message_bytes: memory / MESSAGES_PART,
             unread_bytes: memory / UNREAD_PART,
             forwarded_bytes: memory / FORWARDED_PART,
+            frame_bytes: memory / FRAMES_PART,
         }
     }
 }
--- a/crates/persimmon-proxy/src/forwarding/link.rs
+++ b/crates/persimmon-proxy/src/forwarding/link.rs
@@ -16,7 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::forwarding::service::{ForwardServiceClient, Refusal, frame};
+use crate::forwarding::frame::frame;
+use crate::forwarding::service::{ForwardServiceClient, Refusal};
 use crate::metrics::Metrics;
 use crate::statement_job::StatementJob;
 
@@ -104,7 +105,7 @@
         Metrics::increment(&self.metrics.peer_connections);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let transport = match connecting.await {
-            Ok(Ok(stream)) => frame(stream).map_err(|err| err.to_string()),
+            Ok(Ok(stream)) => frame(stream, None).map_err(|err| err.to_string()),
             Ok(Err(err)) => Err(err.to_string()),
             Err(_) => Err("not accepted in time".to_owned()),
         };
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 //! - A statement that may have reached another daemon is refused as "not run" only if that daemon
 //!   said so.
 
+mod frame;
 mod link;
 mod owner;
 mod service;
@@ -23,6 +24,7 @@
 use persimmon_ownership::{HopFailure, Path, ServiceOwners, after_hop, choose_path};
 use persimmon_types::Clock;
 
+pub(crate) use crate::forwarding::frame::FrameRoom;
 pub(crate) use crate::forwarding::link::Links;
 use crate::forwarding::link::{Link, Patience};
 pub(crate) use crate::forwarding::owner::{HeldCount, serve};
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -21,8 +21,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
+use crate::forwarding::frame::frame;
 use crate::forwarding::service::{
-    ContinueReply, ContinueRequest, ExecuteReply, ExecuteRequest, ForwardService, Refusal, frame,
+    ContinueReply, ContinueRequest, ExecuteReply, ExecuteRequest, ForwardService, Refusal,
 };
 use crate::forwarding::wire::ReceivedStatement;
 use crate::memory_budget::MemoryShare;
@@ -302,7 +303,7 @@
 }
 
 async fn serve_connection(worker: Rc<Worker>, stream: TcpStream, caller: SocketAddr) {
-    let transport = match frame(stream) {
+    let transport = match frame(stream, Some(&worker.frame_room)) {
         Ok(transport) => transport,
         Err(err) => {
             tracing::warn!(%caller, error = %err, "a daemon's connection cannot be used");
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -1,20 +1,10 @@
 //! Calls between a daemon and the owner of a service, over `tarpc`.
 
-use std::io;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use tarpc::serde_transport::{self, Transport};
-use tarpc::tokio_serde::formats::Json;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::net::TcpStream;
 
 use crate::forwarding::wire::{WireAnswer, WireCode, WireFailure, WireMode, WireStatement};
-use crate::socket;
-
-/// Maximum message size in bytes: a client's message and its answer, each at most 1 MiB, with what
-/// JSON adds to escape them.
-const FRAME_LIMIT: usize = 4 << 20;
 
 /// Why a daemon did not run a forwarded statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,22 +75,3 @@
     /// Returns at once.
     async fn ping();
 }
-
-/// A connection between two daemons, framed for messages in each direction.
-pub(crate) type Framed<In, Out> = Transport<TcpStream, In, Out, Json<In, Out>>;
-
-/// Frames a connection for messages.
-///
-/// # Errors
-///
-/// Returns an error if the socket refuses an option.
-pub(crate) fn frame<In, Out>(stream: TcpStream) -> io::Result<Framed<In, Out>>
-where
-    In: for<'de> Deserialize<'de>,
-    Out: Serialize,
-{
-    socket::set_options(&stream, true)?;
-    let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec();
-    let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
-    Ok(serde_transport::new(framed, Json::default()))
-}
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::drain::ShutdownSchedule;
-use crate::forwarding::{HeldCount, Links};
+use crate::forwarding::{FrameRoom, HeldCount, Links};
 use crate::logging::LogBudget;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
@@ -98,6 +98,8 @@
     pub(crate) forwarded_budget: Rc<MemoryBudget>,
     /// Memory for the values and prepared statements of sessions.
     pub(crate) state_budget: Rc<MemoryBudget>,
+    /// Room for large frames from other daemons.
+    pub(crate) frame_room: FrameRoom,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -135,6 +137,7 @@
             held: HeldCount::default(),
             open_sessions: Sessions::new(limits, Arc::clone(&parts.metrics)),
             message_budget: Rc::new(MemoryBudget::new(limits.message_bytes)),
+            frame_room: FrameRoom::new(limits.frame_bytes),
             forwarded_budget: Rc::new(MemoryBudget::new(limits.forwarded_bytes)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
             relay: parts.relay,
--- a/crates/persimmon-proxy/tests/client_limits.rs
+++ b/crates/persimmon-proxy/tests/client_limits.rs
@@ -61,7 +61,10 @@
     for memory in [64_000_000, SMALL_HOST.0, 512_000_000] {
         let limits = ClientLimits::new(Some(memory), Some(1 << 20));
 
-        let held = limits.message_bytes + limits.unread_bytes + limits.forwarded_bytes;
+        let held = limits.message_bytes
+            + limits.unread_bytes
+            + limits.forwarded_bytes
+            + limits.frame_bytes;
         assert!(held + limits.max_sessions * (32 << 10) <= memory * 3 / 4, "{limits:?}");
     }
 }
