--- a/crates/persimmon-workspace/src/lib.rs
+++ b/crates/persimmon-workspace/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod directory;
 mod key;
+pub mod quota;
 mod workspace;
 
 pub use directory::{RejectedEntry, WorkspaceDirectory};
