Quotas at run time: tokens at the first statement of an operation, and the record of the fleet

A statement with a token carries the time by which it must be sent, on the clock of the daemon that runs it, so that a delay on the way or a frozen owner does not move operations into another window.

--- a/crates/persimmon-interfaces/src/store.rs
+++ b/crates/persimmon-interfaces/src/store.rs
@@ -22,6 +22,9 @@
     Instances,
     /// The promotion lock of each service. Only the proxy itself uses this kind.
     Duties,
+    /// The record of the fleet, on which the shares of quotas rest. Only the proxy itself uses this
+    /// kind.
+    Fleet,
 }
 
 /// A stored object.
--- a/crates/persimmon-lab/src/line_cluster/group.rs
+++ b/crates/persimmon-lab/src/line_cluster/group.rs
@@ -61,6 +61,8 @@
     committed: HashMap<String, u32>,
     reported_not_kept: HashSet<String>,
     promotion: Option<(Instant, usize)>,
+    /// When each request of a client first reached an instance, by the request's id.
+    first_reached: HashMap<String, Instant>,
     violations: Vec<String>,
 }
 
@@ -107,6 +109,7 @@
                 committed: HashMap::new(),
                 reported_not_kept: HashSet::new(),
                 promotion: None,
+                first_reached: HashMap::new(),
                 violations: Vec::new(),
             }),
         }
@@ -281,6 +284,22 @@
         self.lock().rolled_back.contains(data)
     }
 
+    /// Records that a request of a client reached an instance.
+    pub(crate) fn record_reached(&self, id: &str) {
+        self.lock().first_reached.entry(id.to_owned()).or_insert_with(Instant::now);
+    }
+
+    /// When each request of the client `name` first reached an instance, in order.
+    #[must_use]
+    pub fn reached(&self, name: &str) -> Vec<Instant> {
+        let prefix = format!("{name}:");
+        let state = self.lock();
+        let of_client = state.first_reached.iter().filter(|(id, _)| id.starts_with(&prefix));
+        let mut times: Vec<Instant> = of_client.map(|(_, at)| *at).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Records a violation of a guarantee.
     pub fn record_violation(&self, what: String) {
         self.lock().violations.push(what);
--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -268,6 +268,9 @@
             }
         }
         let words: Vec<&str> = text.splitn(3, ' ').collect();
+        if matches!(words[0], "READ" | "WRITE" | "EXECUTE") {
+            self.server.group.record_reached(id);
+        }
         if self.tx.as_ref().is_some_and(|tx| tx.has_failed) && words[0] != "ROLLBACK" {
             return Err(("MALFORMED", "the transaction failed".to_owned()));
         }
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -61,6 +61,9 @@
     checks_drain_limit: bool,
     /// The workspaces of the table, in the form of the platform; `None` in a deployment without them.
     workspaces: Mutex<Option<Value>>,
+    /// The bounds of quotas in the settings of daemons, as the platform writes them; empty in a
+    /// deployment without quotas.
+    quota_bounds: String,
     /// What each instance wrote last of itself, and how often it has written.
     written: Mutex<HashMap<String, (Value, u64)>>,
 }
@@ -101,6 +104,7 @@
             drain_limit: DEFAULT_DRAIN_LIMIT,
             checks_drain_limit: true,
             workspaces: Mutex::default(),
+            quota_bounds: String::new(),
             written: Mutex::default(),
         };
         cluster.publish_instances(false);
@@ -131,6 +135,16 @@
         *self.workspaces.lock().unwrap_or_else(PoisonError::into_inner) = Some(workspaces);
     }
 
+    /// Sets how far the settings of daemons let quotas be exceeded: the window in seconds, the part of
+    /// the quota, and a number of operations.
+    #[must_use]
+    pub fn with_quota_bounds(mut self, window_s: f64, overage: f64, slack: f64) -> Self {
+        self.quota_bounds = format!(
+            "quota_window_s = {window_s:?}\nquota_overage = {overage:?}\nquota_slack = {slack:?}\n"
+        );
+        self
+    }
+
     /// Lets instances record no new work after the drain limit: for runs in which daemons may be kept
     /// from learning that an instance leaves.
     #[must_use]
@@ -245,12 +259,13 @@
              heartbeat_ms = 1200\ninternal_port_range = [{first}, {last}]\n[listen]\nfront = \"{ip}:0\"\n\
              ready = \"{ip}:0\"\ncontrol = \"{peers}\"\n\
              metrics = \"{ip}:0\"\n[bounds]\n\
-             drain_ms = {drain_ms}\ngrace_s = 6\n[platform]\naddress = \"{store}\"\n[cloud_api]\n\
+             drain_ms = {drain_ms}\ngrace_s = 6\n{quota}[platform]\naddress = \"{store}\"\n[cloud_api]\n\
              address = \"{store}\"\n",
             seeds.join(","),
             first = PEER_PORT + 1,
             last = PEER_PORT + 15,
             drain_ms = self.drain_limit.as_millis(),
+            quota = self.quota_bounds,
             store = self.store_proxy.address,
         )
     }
--- /dev/null
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -0,0 +1,110 @@
+//! Reads and writes the record of the fleet, on which the shares of quotas rest.
+//!
+//! Invariant: the record is changed only by conditional writes, and used only as the store returned
+//! it. A write without an answer is followed by another read.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use persimmon_interfaces::{ObjectKind, ReadResult, StoreError};
+use persimmon_workspace::quota::FleetRecord;
+use serde::Deserialize;
+
+use crate::control::Control;
+use crate::control::backoff::Backoff;
+use crate::quota::{FleetNeed, FleetView};
+
+/// The name of the record.
+const NAME: &str = "fleet";
+
+/// How long requests are collected, so that daemons that start together are registered together.
+const COLLECT_TIME: Duration = Duration::from_millis(250);
+
+/// How long the number of known daemons must not change before the first record is written. Shares
+/// that are missing later cost the less, the larger that record is.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Keeps the record until the process ends.
+pub(super) async fn keep_record(control: Rc<Control>, fleet: Arc<FleetView>) {
+    let mut backoff = Backoff::new(ObjectKind::Fleet);
+    loop {
+        fleet.wait().await;
+        tokio::time::sleep(COLLECT_TIME).await;
+        let need = fleet.take_need();
+        match update(&control, &need).await {
+            Ok(record) => {
+                let size = record.size();
+                tracing::info!(
+                    registered = size.registered,
+                    floor = size.floor,
+                    "the record of the fleet was read"
+                );
+                fleet.set(record);
+                backoff = Backoff::new(ObjectKind::Fleet);
+            }
+            Err(err) => {
+                tracing::info!(error = %err, "the record of the fleet is not up to date");
+                for daemon in need.unregistered {
+                    fleet.request(Some(daemon), None);
+                }
+                fleet.request(None, need.confirmed);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Reads the record, and writes it if it lacks something; returns it as the store has it.
+async fn update(control: &Control, need: &FleetNeed) -> Result<FleetRecord, StoreError> {
+    let store = &control.platform.store;
+    let read = store.read(ObjectKind::Fleet, Arc::from(NAME)).await;
+    control.record_store_call("read", read.as_ref().err());
+    let ReadResult { era, object } = read?;
+    control.record_era(era, "read");
+    let stored = match &object {
+        Some(object) => Some(parse(&object.value)?),
+        None => None,
+    };
+    let mut members = need.unregistered.clone();
+    if stored.is_none() {
+        members.extend(settled_members(control).await);
+    }
+    let Some(record) = FleetRecord::updated(stored.as_ref(), members, need.confirmed) else {
+        return stored.ok_or_else(|| StoreError::Refused("no daemon is known".to_owned()));
+    };
+    let value = serde_json::to_value(&record)
+        .map_err(|err| StoreError::Refused(format!("the record cannot be encoded: {err}")))?;
+    let expect = object.map(|o| o.revision);
+    let written = store.write(ObjectKind::Fleet, Arc::from(NAME), expect, value).await;
+    let outage = written.as_ref().err().filter(|e| !matches!(e, StoreError::Conflict(_)));
+    control.record_store_call("write", outage);
+    let written = written?;
+    if written.revision.era != era {
+        // The store was restored between the two calls; the record may lack daemons.
+        return Err(StoreError::Conflict(Some(written)));
+    }
+    Ok(record)
+}
+
+fn parse(value: &serde_json::Value) -> Result<FleetRecord, StoreError> {
+    let record = FleetRecord::deserialize(value);
+    // A record that cannot be read is not replaced, because daemons may rely on it.
+    let record =
+        record.map_err(|err| StoreError::Refused(format!("the record cannot be read: {err}")))?;
+    Ok(record.restored())
+}
+
+/// The known daemons, once their number has not changed for a while.
+async fn settled_members(control: &Control) -> Vec<Arc<str>> {
+    let mut count = None;
+    loop {
+        let known = control.peers.daemon_count();
+        if known.is_some() && known == count {
+            let members = control.peers.members();
+            return members.iter().map(|m| Arc::from(m.address.to_string())).collect();
+        }
+        count = known;
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
+}
--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod check;
+mod fleet;
 mod follow;
 mod peers;
 mod probe;
@@ -32,6 +33,7 @@
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 use crate::peer_service::{PeerError, PeerServiceClient, connect};
+use crate::quota::FleetView;
 use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayReply, RelayedKind};
 use crate::sampling::LatestSamples;
@@ -61,6 +63,8 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
+    /// The record of the fleet, for quotas.
+    pub(crate) fleet: Arc<FleetView>,
 }
 
 /// The state of the control thread.
@@ -355,5 +359,6 @@
     ntex::rt::spawn(follow::follow_table(Rc::clone(&control)));
     ntex::rt::spawn(follow::follow_directory(Rc::clone(&control)));
     ntex::rt::spawn(peers::exchange_with_peers(Rc::clone(&control)));
+    ntex::rt::spawn(fleet::keep_record(Rc::clone(&control), parts.fleet));
     promotion::run(control, parts.suspicions).await;
 }
--- a/crates/persimmon-proxy/src/drain.rs
+++ b/crates/persimmon-proxy/src/drain.rs
@@ -94,5 +94,6 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    worker.hand_back_share().await;
     tracing::info!(sessions = worker.sessions.get(), "stopped");
 }
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -49,7 +49,9 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         loop {
             let selected = self.select_instance(job, &mut execution, &tried).await;
-            let Some(instance) = selected else {
+            // A retry counts as the same operation of the client.
+            let may_send = execution.was_sent || job.may_send(Clock.now());
+            let Some(instance) = selected.filter(|_| may_send) else {
                 execution.failure = Some(failure_text(&AttemptFailure::NotSent));
                 return execution.refused(ErrorCode::Busy);
             };
@@ -252,6 +254,11 @@
         }
         let after = if execution.mode == ExecutionMode::Copy { execution.after } else { None };
         let rolls_back = execution.mode == ExecutionMode::Guarded;
+        if !execution.was_sent && !job.may_send(Clock.now()) {
+            self.rollback_if_open(connection).await;
+            return Err(AttemptFailure::NotSent);
+        }
+        execution.was_sent = true;
         let mut limit = job.deadline.since(Clock.now()).max(Duration::from_millis(1));
         if execution.mode.attempt_kind() == AttemptKind::Read {
             limit = limit.mul_f64(READ_ATTEMPT_SHARE);
--- a/crates/persimmon-proxy/src/forwarding/link.rs
+++ b/crates/persimmon-proxy/src/forwarding/link.rs
@@ -32,6 +32,10 @@
 /// Added to a statement's deadline for its answer to arrive.
 const ANSWER_MARGIN: Duration = Duration::from_millis(50);
 
+/// How long a bound of the difference of two clocks is kept; they may drift apart by a millisecond
+/// within it.
+const MAX_LEAD_AGE: Duration = Duration::from_secs(10);
+
 /// Share of a read's remaining time after which another path is tried.
 const READ_HOP_SHARE: f64 = 0.7;
 
@@ -63,6 +67,8 @@
     is_connecting: Cell<bool>,
     was_silent: Cell<bool>,
     next_transaction: Cell<u64>,
+    /// How far the daemon's clock is ahead of this one's at least, and when that was learned.
+    clock_lead: Cell<Option<(i128, Time)>>,
     /// Notified when the connection was opened or failed, and when the daemon falls silent.
     changed: Notify,
 }
@@ -129,6 +135,7 @@
 
     fn close(&self) {
         *self.client.borrow_mut() = None;
+        self.clock_lead.set(None);
         self.update(|health| health.record_failure(Clock.now()));
         self.changed.notify_waiters();
     }
@@ -139,6 +146,37 @@
         context_until(job.deadline.since(Clock.now()) + ANSWER_MARGIN)
     }
 
+    /// The context of a call that is not for a statement.
+    pub(super) fn short_context(&self, limit: Duration) -> Context {
+        self.update(|health| health.record_sent(Clock.now()));
+        context_until(limit)
+    }
+
+    /// Records a time of the daemon's clock, in microseconds, that has just been received.
+    pub(super) fn record_clock(&self, clock_us: u64) {
+        let now = Clock.now();
+        let lead = i128::from(clock_us) - i128::from(now.as_micros());
+        // The answer with the shortest delay gives the most precise bound.
+        let is_better = |(best, at): (i128, Time)| lead >= best || now.since(at) > MAX_LEAD_AGE;
+        if clock_us > 0 && self.clock_lead.get().is_none_or(is_better) {
+            self.clock_lead.set(Some((lead, now)));
+        }
+    }
+
+    /// A time on the daemon's clock, in microseconds, that is not after `time`; `None` if the
+    /// daemon does not tell its clock.
+    pub(super) async fn peer_time(&self, client: &ForwardServiceClient, time: Time) -> Option<u64> {
+        if self.clock_lead.get().is_none() {
+            let limit = CONNECT_TIMEOUT;
+            let calling = client.clock(self.short_context(limit));
+            let deadline = Clock.now() + limit;
+            let answer = self.wait(calling, deadline, Patience::UntilDeadline).await;
+            self.record_clock(answer.ok()?);
+        }
+        let (lead, _) = self.clock_lead.get()?;
+        u64::try_from(i128::from(time.as_micros()) + lead).ok()
+    }
+
     /// Waits for the answer to a call whose context is from [`Self::context`].
     pub(super) async fn wait<T>(
         &self,
@@ -290,6 +328,7 @@
                 is_connecting: Cell::new(false),
                 was_silent: Cell::new(false),
                 next_transaction: Cell::new(0),
+                clock_lead: Cell::default(),
                 changed: Notify::new(),
             })
         });
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -29,6 +29,7 @@
 use crate::forwarding::service::{ContinueRequest, ExecuteRequest};
 use crate::forwarding::wire::WireStatement;
 use crate::metrics::Metrics;
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 use crate::statement_job::{Execution, ExecutionMode, StatementJob};
 use crate::traffic::Worker;
 use crate::transaction::{OpenTransaction, TransactionStep};
@@ -76,6 +77,7 @@
                 execution.owner = Some(owner);
                 execution.failure = Some(Arc::from(format!("{failure:?}")));
                 execution.was_lost = was_lost;
+                execution.was_sent = was_lost || failure == HopFailure::Unanswered;
                 return execution.refused(code);
             }
             was_lost |= failure == HopFailure::Unanswered;
@@ -83,6 +85,21 @@
         }
     }
 
+    /// Sends a quota message to another daemon; `None` if it does not answer in time.
+    pub(crate) async fn call_quota(
+        &self,
+        peer: SocketAddr,
+        request: WireQuotaRequest,
+        limit: Duration,
+    ) -> Option<WireQuotaAnswer> {
+        let port = self.settings.forwarding?.port();
+        let link = self.links.link(peer, SocketAddr::new(peer.ip(), port));
+        let client = link.client().await?;
+        let calling = client.quota(link.short_context(limit), request);
+        let answer = link.wait(calling, Clock.now() + limit, Patience::UntilDeadline).await;
+        answer.ok().flatten()
+    }
+
     /// The owners of a service; `None` if every daemon connects to its instances.
     fn owners(&self, service: &Arc<str>) -> Option<Arc<ServiceOwners>> {
         self.peers.needed_owners(service, self.max_connections(service))
@@ -120,13 +137,21 @@
         let link = self.links.link(owner, SocketAddr::new(owner.ip(), forwarding.port()));
         let client = link.client().await.ok_or(HopFailure::NotForwarded)?;
         let transaction = link.next_transaction();
-        let request =
-            ExecuteRequest { statement: WireStatement::from(job), mode: mode.into(), transaction };
+        let mut statement = WireStatement::from(job);
+        if let Some(send_by) = job.send_by {
+            // A statement that is delayed on the way must not be sent after its token has expired.
+            let there = link.peer_time(&client, send_by).await;
+            statement.send_by_us = Some(there.ok_or(HopFailure::NotForwarded)?);
+        }
+        let request = ExecuteRequest { statement, mode: mode.into(), transaction };
         Metrics::increment(&self.metrics.statements_forwarded);
         let patience = Patience::of(mode.attempt_kind());
         let calling = client.execute(link.context(job), request);
         let answer = match link.wait(calling, job.deadline, patience).await {
-            Ok(Ok(reply)) => reply,
+            Ok(Ok(reply)) => {
+                link.record_clock(reply.clock_us);
+                reply
+            }
             Ok(Err(refusal)) => {
                 link.record_refusal(refusal);
                 return Err(HopFailure::NotForwarded);
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -26,6 +26,7 @@
 };
 use crate::forwarding::wire::ReceivedStatement;
 use crate::metrics::Metrics;
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 use crate::statement_job::{Execution, ExecutionMode};
 use crate::traffic::{ShutdownStage, Worker};
 use crate::transaction::{OpenTransaction, TransactionStep};
@@ -251,6 +252,14 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn clock(self, _: Context) -> u64 {
+        Clock.now().as_micros()
+    }
+
+    async fn quota(self, _: Context, request: WireQuotaRequest) -> Option<WireQuotaAnswer> {
+        self.worker.answer_quota(request)
+    }
 }
 
 /// Accepts connections of other daemons, and checks the connections to them, until the process
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::forwarding::wire::{WireAnswer, WireCode, WireFailure, WireMode, WireStatement};
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 use crate::socket;
 
 /// Maximum message size in bytes: a client's message and its answer, each at most 1 MiB, with what
@@ -52,6 +53,12 @@
     pub(crate) min_position_wait_us: u64,
     pub(crate) connection_wait_us: u64,
     pub(crate) commit_position: Option<persimmon_types::Position>,
+    /// Whether it was sent to no instance.
+    #[serde(default)]
+    pub(crate) was_not_sent: bool,
+    /// The time of the answer on the owner's clock, in microseconds.
+    #[serde(default)]
+    pub(crate) clock_us: u64,
 }
 
 /// A later statement of a transaction.
@@ -84,6 +91,13 @@
 
     /// Returns at once.
     async fn ping();
+
+    /// Returns the time on the daemon's clock, in microseconds.
+    async fn clock() -> u64;
+
+    /// Leases the caller's share of the quotas and requests tokens; `None` if the daemon does not
+    /// coordinate.
+    async fn quota(request: WireQuotaRequest) -> Option<WireQuotaAnswer>;
 }
 
 /// A connection between two daemons, framed for messages in each direction.
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -102,6 +102,9 @@
     unpositioned_commit_age_us: Option<u64>,
     fresh_as_of_age_us: u64,
     remaining_us: u64,
+    /// When its quota token expires on the receiver's clock, in microseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) send_by_us: Option<u64>,
 }
 
 impl From<&StatementJob<'_>> for WireStatement {
@@ -125,6 +128,7 @@
             unpositioned_commit_age_us: unpositioned.map(age_us),
             fresh_as_of_age_us: age_us(job.fresh_as_of),
             remaining_us: micros(job.deadline.since(now)),
+            send_by_us: None,
         }
     }
 }
@@ -141,6 +145,7 @@
     unpositioned_commit_at: Time,
     fresh_as_of: Time,
     deadline: Time,
+    send_by: Option<Time>,
 }
 
 impl From<WireStatement> for ReceivedStatement {
@@ -163,6 +168,7 @@
             unpositioned_commit_at,
             fresh_as_of: now - Duration::from_micros(wire.fresh_as_of_age_us),
             deadline: now + Duration::from_micros(wire.remaining_us),
+            send_by: wire.send_by_us.map(Time::from_micros),
         }
     }
 }
@@ -185,6 +191,7 @@
             unpositioned_commit_at: self.unpositioned_commit_at,
             fresh_as_of: self.fresh_as_of,
             deadline: self.deadline,
+            send_by: self.send_by,
         }
     }
 }
@@ -360,6 +367,8 @@
             min_position_wait_us: micros(execution.min_position_wait),
             connection_wait_us: micros(execution.connection_wait),
             commit_position: execution.commit_position,
+            was_not_sent: !execution.was_sent,
+            clock_us: Clock.now().as_micros(),
         }
     }
 }
@@ -382,6 +391,7 @@
         execution.min_position_wait = Duration::from_micros(reply.min_position_wait_us);
         execution.connection_wait = Duration::from_micros(reply.connection_wait_us);
         execution.commit_position = reply.commit_position;
+        execution.was_sent = !reply.was_not_sent;
         Ok(execution)
     }
 }
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer_service;
 mod pool;
 mod primaries;
+mod quota;
 mod reachability;
 
 mod relay;
@@ -51,6 +52,7 @@
 pub use memory_budget::{MemoryBudget, MemoryShare};
 pub use metrics::Metrics;
 pub use peer_list::PeerList;
+pub use quota::QuotaMetrics;
 pub use reachability::Reachability;
 pub use run::run;
 pub use session::state::{SessionState, StateLimit};
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::quota::QuotaMetrics;
+
 /// Upper bounds of the latency buckets, in milliseconds: from the overhead of the proxy to the
 /// longest client deadline.
 const BUCKETS_MS: [u64; 12] = [1, 2, 5, 10, 25, 50, 100, 200, 400, 1_000, 2_000, 8_000];
@@ -52,6 +54,8 @@
             pub directory_age_ms: AtomicU64,
             /// Milliseconds since the table was last known to be the store's.
             pub table_age_ms: AtomicU64,
+            /// Quotas by workspace.
+            pub quotas: QuotaMetrics,
             /// Bytes of the values and prepared statements of all sessions.
             pub session_state_bytes: AtomicU64,
             $($(#[$doc])* pub $name: AtomicU64,)*
@@ -112,6 +116,10 @@
     store_checks,
     /// Calls to the store that failed.
     store_failures,
+    /// Operations refused because their workspace is over its quota.
+    over_quota,
+    /// Quota messages sent to other daemons.
+    quota_messages,
     /// Attempts to open connections to other daemons.
     peer_connections,
     /// Promotions requested.
@@ -144,6 +152,7 @@
             // Writing to a string cannot fail.
             let _ = writeln!(out, "# TYPE persimmon_{name} gauge\npersimmon_{name} {value}");
         }
+        self.quotas.render(&mut out);
         self.statement.render("persimmon_statement", &mut out);
         out
     }
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -130,6 +130,12 @@
         all
     }
 
+    /// A number that changes with each change of the known members.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.lock().members.version()
+    }
+
     /// A hash of all known members, including this daemon.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
--- /dev/null
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -0,0 +1,77 @@
+//! The record of the fleet, shared between the control thread, which reads and writes it, and the
+//! traffic thread, which needs it.
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use persimmon_workspace::quota::{FleetRecord, FleetSize};
+use tokio::sync::Notify;
+
+/// Daemons that are remembered until they are registered.
+const MAX_UNREGISTERED: usize = 4_096;
+
+/// Why the record must be read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct FleetNeed {
+    /// Daemons that may not be registered.
+    pub(crate) unregistered: HashSet<Arc<str>>,
+    /// The size with which every registered daemon has leased, if that raises the record's floor.
+    pub(crate) confirmed: Option<u32>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    record: Option<FleetRecord>,
+    need: Option<FleetNeed>,
+}
+
+/// What this process knows of the record.
+#[derive(Debug, Default)]
+pub(crate) struct FleetView {
+    state: Mutex<State>,
+    needed: Notify,
+}
+
+impl FleetView {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The size of the fleet in the record that was read last, and the index of a daemon.
+    pub(crate) fn find(&self, daemon: &str) -> (FleetSize, Option<u32>) {
+        let state = self.lock();
+        let Some(record) = &state.record else {
+            return (FleetSize::default(), None);
+        };
+        (record.size(), record.index(daemon))
+    }
+
+    /// Requests that the record is read, and changed if it lacks something.
+    pub(crate) fn request(&self, daemon: Option<Arc<str>>, confirmed: Option<u32>) {
+        let mut state = self.lock();
+        let need = state.need.get_or_insert_default();
+        if need.unregistered.len() < MAX_UNREGISTERED {
+            need.unregistered.extend(daemon);
+        }
+        need.confirmed = confirmed.or(need.confirmed);
+        drop(state);
+        self.needed.notify_one();
+    }
+
+    /// Waits until the record is needed.
+    pub(crate) async fn wait(&self) {
+        while self.lock().need.is_none() {
+            self.needed.notified().await;
+        }
+    }
+
+    /// What is needed, without that which the record has meanwhile.
+    pub(crate) fn take_need(&self) -> FleetNeed {
+        self.lock().need.take().unwrap_or_default()
+    }
+
+    /// Sets the record as the store has it.
+    pub(crate) fn set(&self, record: FleetRecord) {
+        self.lock().record = Some(record);
+    }
+}
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -44,7 +44,7 @@
         match kind {
             ObjectKind::Table => Ok(Self::Table),
             ObjectKind::Instances => Ok(Self::Instances),
-            ObjectKind::Duties => Err(()),
+            ObjectKind::Duties | ObjectKind::Fleet => Err(()),
         }
     }
 }
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -18,6 +18,7 @@
 use crate::logging::{DEFAULT_FILTER, start_logging};
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
+use crate::quota::FleetView;
 use crate::reachability::Reachability;
 use crate::relay::Relay;
 use crate::sampling::LatestSamples;
@@ -76,6 +77,7 @@
     let samples = Arc::new(LatestSamples::new(sample_requests_tx));
     let settings = Arc::new(settings);
     let relay = Arc::new(Relay::new());
+    let fleet = Arc::new(FleetView::default());
     let (snapshot_tx, snapshot) = watch::channel(Arc::new(RoutingSnapshot::default()));
     let (suspicions_tx, suspicions) = mpsc::channel(SUSPICION_QUEUE);
     let (stage_tx, stage) = watch::channel(ShutdownStage::Serving);
@@ -93,6 +95,7 @@
         peers: Arc::clone(&peers),
         samples: Arc::clone(&samples),
         relay: Arc::clone(&relay),
+        fleet: Arc::clone(&fleet),
     })?;
     let parts = traffic::Parts {
         settings,
@@ -106,6 +109,7 @@
         peers,
         samples,
         relay,
+        fleet,
     };
     let system = System::new("traffic", DefaultRuntime);
     system.block_on(async move {
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::{Answer, Shape};
 use crate::metrics::Metrics;
+use crate::quota::OverQuota;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::{
     Execution, ExecutionMode, RETRY_AFTER, StatementJob, access, autocommit_mode,
@@ -53,8 +54,14 @@
         if !worker.may_start(route.statement_timeout) {
             return self.refuse_in_shutdown(query, &route);
         }
-        let job = self.new_job(query, shape, &route, fresh_as_of, arrival);
+        let permit = match worker.admit_operation(self.caller.as_ref(), &route).await {
+            Ok(permit) => permit,
+            Err(over) => return self.refuse_over_quota(query, &route, over),
+        };
+        let mut job = self.new_job(query, shape, &route, fresh_as_of, arrival);
+        job.send_by = permit.send_by();
         let execution = worker.run(&job, mode).await;
+        worker.settle_permit(permit, &execution);
         self.record_statement(query, &route, access, arrival, &execution);
         let has_begun = matches!(self.tx, Tx::Begun { .. });
         let Execution { result, transaction, mode, retry_after, commit_position, .. } = execution;
@@ -106,6 +113,27 @@
         true
     }
 
+    /// Refuses the first statement of an operation whose workspace is over its quota; returns whether
+    /// the session continues.
+    fn refuse_over_quota(&mut self, query: &Query, route: &Route, over: OverQuota) -> bool {
+        let workspace = self.caller.as_ref().map_or("", |c| &c.workspace);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %query.id, database = %route.database, workspace,
+                retry_ms = whole_ms(over.retry_after), priority = route.priority,
+                quota = self.worker.describe_quota(workspace),
+                "not run: the workspace is over its quota");
+        }
+        Metrics::increment(&self.worker.metrics.statements_not_run);
+        let has_transaction = !matches!(self.tx, Tx::None);
+        let code = if has_transaction { ErrorCode::Aborted } else { ErrorCode::Busy };
+        self.tx = match (has_transaction, query.statement == Statement::Commit) {
+            (true, false) => Tx::Failed,
+            _ => Tx::None,
+        };
+        self.send(&[refusal(code, over.retry_after), ready(self.status(), None)]);
+        true
+    }
+
     /// The transaction state after its first statement was answered.
     fn transaction_after_first(
         transaction: Box<dyn OpenTransaction>,
@@ -151,6 +179,7 @@
             unpositioned_commit_at: self.unpositioned_commit_at,
             fresh_as_of,
             deadline: self.worker.limit_deadline(arrival + route.statement_timeout),
+            send_by: None,
         }
     }
 
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -88,6 +88,8 @@
     pub(crate) fresh_as_of: Time,
     /// Time by which the client must have an answer.
     pub(crate) deadline: Time,
+    /// Time before which it must be sent to an instance, as its quota token expires then.
+    pub(crate) send_by: Option<Time>,
 }
 
 impl<'a> StatementJob<'a> {
@@ -106,6 +108,11 @@
         }
     }
 
+    /// Whether it may be sent to an instance for the first time at `now`.
+    pub(crate) fn may_send(&self, now: Time) -> bool {
+        self.send_by.is_none_or(|send_by| now < send_by)
+    }
+
     /// Time until which the statement waits for a connection: at most its latency target, so that a
     /// client that is refused can still retry at another daemon.
     pub(crate) fn connection_deadline(&self, now: Time) -> Time {
@@ -136,6 +143,8 @@
     /// Average wait of recent statements at the instance to which admission control did not admit
     /// this one, in milliseconds.
     pub(crate) congestion_ms: Option<f64>,
+    /// Whether it may have been sent to an instance.
+    pub(crate) was_sent: bool,
     /// Whether a sent attempt got no answer, so that it may have run.
     pub(crate) was_lost: bool,
     /// Whether it has waited for admission.
@@ -164,6 +173,7 @@
             after: None,
             failure: None,
             congestion_ms: None,
+            was_sent: false,
             was_lost: false,
             was_throttled: false,
             retry_after: RETRY_AFTER,
@@ -182,6 +192,7 @@
     /// The outcome after an earlier attempt that was sent and got no answer.
     pub(crate) fn after_lost_attempt(mut self) -> Self {
         self.was_lost = true;
+        self.was_sent = true;
         self.result = self.result.map_err(|code| final_error_code(code, true));
         self
     }
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -24,6 +24,7 @@
 use crate::peer_list::PeerList;
 use crate::pool::Pool;
 use crate::primaries::PrimaryState;
+use crate::quota::{self, FleetView, Quotas};
 use crate::reachability::Reachability;
 
 use crate::relay::{Relay, RelayedKind};
@@ -97,6 +98,8 @@
     pub(crate) receive_budget: Rc<MemoryBudget>,
     /// Memory for the values and prepared statements of sessions.
     pub(crate) state_budget: Rc<MemoryBudget>,
+    /// The quotas of workspaces; `None` in a deployment without quotas.
+    pub(crate) quotas: Option<Quotas>,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -115,6 +118,7 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
+    pub(crate) fleet: Arc<FleetView>,
 }
 
 impl Worker {
@@ -133,6 +137,7 @@
             held: HeldCount::default(),
             receive_budget: Rc::new(MemoryBudget::new(MAX_INCOMPLETE_BYTES)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
+            quotas: parts.settings.quota.map(|bounds| Quotas::new(bounds, parts.fleet)),
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
@@ -232,6 +237,7 @@
         }
     });
     ntex::rt::spawn(keep_prewarmed(Rc::clone(worker)));
+    ntex::rt::spawn(quota::run(Rc::clone(worker)));
     let sweeping = Rc::clone(worker);
     ntex::rt::spawn(async move {
         loop {
--- /dev/null
+++ b/crates/persimmond/tests/quotas.rs
@@ -0,0 +1,238 @@
+//! Tests quotas of workspaces over daemons as separate processes. Guards against a workspace that
+//! exceeds its quota in any window because several daemons serve it, or because the coordinator is
+//! killed or frozen or all daemons start anew, and against refusals below the quota.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_on};
+
+const DAEMONS: usize = 4;
+
+/// A window shorter than that of the deployments, so that the tests see several.
+const WINDOW: Duration = Duration::from_secs(3);
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 20.0;
+
+/// The workspace whose client sends far more than its quota.
+const GREEDY: &str = "greedy";
+const GREEDY_RATE: f64 = 20.0;
+const GREEDY_BURST: f64 = 5.0;
+
+/// The workspace that stays below its quota.
+const MODEST: &str = "modest";
+const MODEST_RATE: f64 = 30.0;
+
+fn workspaces() -> Value {
+    json!([
+        {"name": GREEDY, "api_keys": [GREEDY], "priority": 1, "rate_per_s": GREEDY_RATE,
+            "burst": GREEDY_BURST},
+        {"name": MODEST, "api_keys": [MODEST], "priority": 1, "rate_per_s": MODEST_RATE,
+            "burst": 5.0},
+        {"name": "probe", "api_keys": ["probe"], "priority": 1, "rate_per_s": 100.0,
+            "burst": 100.0},
+    ])
+}
+
+/// Starts daemons that enforce quotas, and waits until they grant.
+fn start(name: &str) -> Setup {
+    let cluster = LineCluster::start(1, 3, InstanceProfile::default())
+        .expect("the fake platform starts")
+        .with_quota_bounds(WINDOW.as_secs_f64(), OVERAGE, SLACK);
+    cluster.set_workspaces(workspaces());
+    cluster.put_table(2, &[]);
+    let setup = setup_on(name, DAEMONS, cluster);
+    for daemon in 0..DAEMONS {
+        assert!(
+            holds_within(CONDITION_TIMEOUT, || is_served(&setup, daemon)),
+            "nothing is granted"
+        );
+    }
+    setup
+}
+
+/// Whether a daemon serves a statement of the probing workspace.
+fn is_served(setup: &Setup, daemon: usize) -> bool {
+    let address = setup.daemons[daemon].addresses.clients;
+    let client = LineClient::open(address, "p0", "probe");
+    client.is_ok_and(|mut c| c.query("READ item").is_ok_and(|a| a.result.is_ok()))
+}
+
+/// Clients of one workspace that send until they are stopped.
+struct Load {
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Sends from one client at each address, with a pause after each answer.
+    fn start(name: &'static str, addresses: &[SocketAddr], pause: Duration) -> Self {
+        let mut load = Self {
+            stop: Arc::default(),
+            served: Arc::default(),
+            refused: Arc::default(),
+            threads: Vec::new(),
+        };
+        for address in addresses.iter().copied() {
+            let (stop, served) = (Arc::clone(&load.stop), Arc::clone(&load.served));
+            let refused = Arc::clone(&load.refused);
+            load.threads.push(std::thread::spawn(move || {
+                let mut client = None;
+                while !stop.load(Ordering::Relaxed) {
+                    std::thread::sleep(pause);
+                    if client.is_none() {
+                        client = LineClient::open(address, "p0", name).ok();
+                    }
+                    let Some(open) = &mut client else {
+                        continue;
+                    };
+                    match open.query("READ item") {
+                        Ok(answer) if answer.result.is_ok() => {
+                            served.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Ok(_) => {
+                            refused.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Err(_) => client = None,
+                    }
+                }
+            }));
+        }
+        load
+    }
+
+    fn served(&self) -> u64 {
+        self.served.load(Ordering::Relaxed)
+    }
+
+    /// Stops the clients; returns how many statements were served and refused.
+    fn stop(self) -> (u64, u64) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().expect("the client ends");
+        }
+        (self.served.load(Ordering::Relaxed), self.refused.load(Ordering::Relaxed))
+    }
+}
+
+fn addresses(setup: &Setup) -> Vec<SocketAddr> {
+    setup.daemons.iter().map(|d| d.addresses.clients).collect()
+}
+
+/// Two clients of the greedy workspace at each daemon.
+fn greedy(setup: &Setup) -> Load {
+    let all = [addresses(setup), addresses(setup)].concat();
+    Load::start(GREEDY, &all, Duration::from_millis(10))
+}
+
+/// The largest number of operations of a workspace that reached instances in one window.
+fn most_in_a_window(setup: &Setup, name: &str) -> usize {
+    let times: Vec<Instant> = setup.cluster.groups[0].0.reached(name);
+    let in_window =
+        |start: usize| times[start..].iter().take_while(|at| **at - times[start] <= WINDOW).count();
+    (0..times.len()).map(in_window).max().unwrap_or(0)
+}
+
+fn assert_greedy_is_limited(setup: &Setup) {
+    let bound = (GREEDY_RATE * WINDOW.as_secs_f64() + GREEDY_BURST) * (1.0 + OVERAGE) + SLACK;
+    let most = most_in_a_window(setup, GREEDY);
+    let count = f64::from(u32::try_from(most).expect("few"));
+    assert!(count <= bound, "{most} operations in a window, at most {bound} are allowed");
+    assert!(most > 0, "nothing was served");
+}
+
+/// The daemon to which the share of another is leased, by its log.
+fn coordinator(setup: &Setup) -> usize {
+    let lines = setup.daemons[0].log_lines().expect("a log");
+    let is_change =
+        |line: &&Value| line["message"] == "the quota coordinator of this daemon changed";
+    let last = lines.iter().rev().find(is_change).expect("a coordinator");
+    let is_named = |d: &Daemon| last["coordinator"] == *d.addresses.peers.to_string();
+    setup.daemons.iter().position(is_named).expect("a daemon of the fleet")
+}
+
+fn wait_for_served(load: &Load, more: u64) {
+    let before = load.served();
+    let is_served = || load.served() >= before + more;
+    assert!(holds_within(CONDITION_TIMEOUT, is_served), "service does not return");
+}
+
+#[test]
+fn a_workspace_is_limited_over_all_daemons() {
+    let setup = start("quota-limit");
+
+    let load = greedy(&setup);
+    let began = Instant::now();
+    wait_for_served(&load, 200);
+    let took = began.elapsed().as_secs_f64();
+    let (served, refused) = load.stop();
+
+    assert_greedy_is_limited(&setup);
+    assert!(refused > served, "{served} served, {refused} refused");
+    assert!(200.0 >= 0.9 * (GREEDY_RATE * took - 1.0), "200 operations took {took} s");
+    setup.assert_no_violations();
+}
+
+#[test]
+fn a_workspace_below_its_quota_is_served_at_one_daemon() {
+    let setup = start("quota-below");
+    let noise = greedy(&setup);
+
+    for daemon in [coordinator(&setup), (coordinator(&setup) + 1) % DAEMONS] {
+        // Five clients with 4 to 5 operations a second each: three quarters of the rate.
+        let at_one = vec![setup.daemons[daemon].addresses.clients; 5];
+        let load = Load::start(MODEST, &at_one, Duration::from_millis(210));
+        wait_for_served(&load, 80);
+        let (served, refused) = load.stop();
+        assert!(refused * 100 <= served, "{refused} refused, {served} served");
+    }
+
+    noise.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
+
+#[test]
+fn the_limit_holds_when_the_coordinator_is_killed() {
+    let mut setup = start("quota-kill");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+
+    let killed = coordinator(&setup);
+    setup.daemons[killed].kill();
+    wait_for_served(&load, 60);
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
+
+#[test]
+fn the_limit_holds_when_the_coordinator_is_frozen_and_resumed() {
+    let setup = start("quota-freeze");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+
+    for _ in 0..2 {
+        let frozen = coordinator(&setup);
+        setup.daemons[frozen].signal(Signal::STOP);
+        wait_for_served(&load, 40);
+        setup.daemons[frozen].signal(Signal::CONT);
+        wait_for_served(&load, 60);
+    }
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
