Quotas: leases move to another coordinator without a pause, tests with processes

A daemon ends its lease at the old coordinator before it leases to the new one, unless an earlier message may still arrive there. A daemon that is not registered, or shuts down, says so and is passed over for 500 ms instead of up to 8 s, which had left a fleet that starts with a second change of coordinator after some seconds.

--- a/crates/persimmon-lab/src/http.rs
+++ b/crates/persimmon-lab/src/http.rs
@@ -38,6 +38,16 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Gets a text; the status code is not checked.
+///
+/// # Errors
+///
+/// Returns an error if the request fails.
+pub fn get_text(address: SocketAddr, path: &str) -> io::Result<String> {
+    let (_, body) = send_request(address, &format!("GET {path}"), b"")?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
 /// Returns the status code of a GET request.
 ///
 /// # Errors
--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -31,7 +31,9 @@
     loop {
         fleet.wait().await;
         tokio::time::sleep(COLLECT_TIME).await;
-        let need = fleet.take_need();
+        let Some(need) = fleet.take_need() else {
+            continue;
+        };
         match update(&control, &need).await {
             Ok(record) => {
                 let size = record.size();
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -85,19 +85,18 @@
         }
     }
 
-    /// Sends a quota message to another daemon; `None` if it does not answer in time.
+    /// Sends a quota message to another daemon, which answers `None` if it does not coordinate.
     pub(crate) async fn call_quota(
         &self,
         peer: SocketAddr,
         request: WireQuotaRequest,
         limit: Duration,
-    ) -> Option<WireQuotaAnswer> {
-        let port = self.settings.forwarding?.port();
+    ) -> Result<Option<WireQuotaAnswer>, HopFailure> {
+        let port = self.settings.forwarding.ok_or(HopFailure::NotForwarded)?.port();
         let link = self.links.link(peer, SocketAddr::new(peer.ip(), port));
-        let client = link.client().await?;
+        let client = link.client().await.ok_or(HopFailure::NotForwarded)?;
         let calling = client.quota(link.short_context(limit), request);
-        let answer = link.wait(calling, Clock.now() + limit, Patience::UntilDeadline).await;
-        answer.ok().flatten()
+        link.wait(calling, Clock.now() + limit, Patience::UntilDeadline).await
     }
 
     /// The owners of a service; `None` if every daemon connects to its instances.
--- a/crates/persimmon-proxy/src/quota/exchange.rs
+++ b/crates/persimmon-proxy/src/quota/exchange.rs
@@ -34,9 +34,16 @@
 /// The key by which daemons of equal capacity are ranked.
 const RANK_KEY: &str = "quota coordinator";
 
+/// How long a daemon is passed over that cannot coordinate because it is not registered or shuts
+/// down. A daemon registers within about this time.
+const UNABLE_PAUSE: Duration = Duration::from_millis(500);
+
 /// How many daemons a choice considers; after them, a daemon uses its own share.
 const CANDIDATES: usize = 16;
 
+/// How often the metrics of workspaces are updated.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long the last message of a process may take.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -48,7 +55,6 @@
     candidates: Vec<SocketAddr>,
     /// Number of failures in a row, and until when the daemon is passed over.
     failed: HashMap<SocketAddr, (u32, Time)>,
-    current: Option<SocketAddr>,
 }
 
 impl CoordinatorChoice {
@@ -69,18 +75,16 @@
         self.failed.retain(|address, _| self.candidates.contains(address));
     }
 
-    /// The first candidate that is not passed over.
-    fn choose(&mut self, now: Time, own: SocketAddr) -> SocketAddr {
+    /// The first candidate that is not passed over. This daemon is one if it is registered, as it
+    /// could not grant otherwise, and may learn its index from another.
+    fn choose(&mut self, now: Time, own: SocketAddr, is_registered: bool) -> SocketAddr {
         let is_usable = |address: &&SocketAddr| {
-            **address == own || self.failed.get(*address).is_none_or(|(_, until)| *until <= now)
+            if **address == own {
+                return is_registered;
+            }
+            self.failed.get(*address).is_none_or(|(_, until)| *until <= now)
         };
-        let chosen = self.candidates.iter().find(is_usable).copied().unwrap_or(own);
-        if self.current != Some(chosen) {
-            tracing::info!(coordinator = %chosen, before = self.current.map(|a| a.to_string()),
-                "the quota coordinator of this daemon changed");
-            self.current = Some(chosen);
-        }
-        chosen
+        self.candidates.iter().find(is_usable).copied().unwrap_or(own)
     }
 
     fn record_failure(&mut self, now: Time, address: SocketAddr) {
@@ -92,6 +96,11 @@
             "the quota coordinator does not answer and is passed over");
     }
 
+    /// Records that a daemon answered that it cannot coordinate at present.
+    fn record_unable(&mut self, now: Time, address: SocketAddr) {
+        self.failed.insert(address, (0, now + UNABLE_PAUSE));
+    }
+
     fn record_answer(&mut self, address: SocketAddr) {
         self.failed.remove(&address);
     }
@@ -119,9 +128,13 @@
     fn log_lease(&self, now: Time) {
         let leased_to = self.member.borrow().leased_to(now);
         let before = self.logged_lease.replace(leased_to);
-        if let Some(before) = before.filter(|_| leased_to != before) {
-            tracing::info!(coordinator = %before,
-                next = leased_to.map(|a| a.to_string()), "the lease of this daemon's share ended");
+        if leased_to == before {
+            return;
+        }
+        if let Some(coordinator) = leased_to {
+            tracing::info!(%coordinator, "the quota coordinator of this daemon changed");
+        } else if let Some(before) = before {
+            tracing::info!(coordinator = %before, "the lease of this daemon's share ended");
         }
     }
 }
@@ -129,11 +142,15 @@
 impl Worker {
     /// Answers a quota message of a daemon, as its coordinator. `None` if this daemon does not.
     pub(crate) fn answer_quota(&self, request: WireQuotaRequest) -> Option<WireQuotaAnswer> {
-        if *self.stage.borrow() >= ShutdownStage::NotReady {
+        let (request, member) = request.received();
+        // While this daemon shuts down, members may take their leases back.
+        if *self.stage.borrow() >= ShutdownStage::NotReady && !request.is_leaving {
             return None;
         }
-        let (request, member) = request.received();
-        Some(self.coordinate(&request, member)?.into())
+        let answer = self.coordinate(&request, member)?;
+        let is_registered = self.quotas.as_ref()?.member.borrow().index().is_some();
+        // A daemon that cannot grant is passed over.
+        is_registered.then(|| answer.into())
     }
 
     fn coordinate(&self, request: &Request, member: Option<SocketAddr>) -> Option<Answer> {
@@ -177,11 +194,16 @@
         let to = if self.settings.forwarding.is_some() {
             let mut choice = quotas.choice.borrow_mut();
             choice.update(&self.peers);
-            choice.choose(now, own)
+            let is_registered = quotas.member.borrow().index().is_some();
+            choice.choose(now, own, is_registered)
         } else {
             own
         };
-        let Some(request) = quotas.member.borrow_mut().next_request(now, to) else {
+        let mut member = quotas.member.borrow_mut();
+        let release = member.next_release(now, to);
+        let due = release.or_else(|| member.next_request(now, to).map(|request| (to, request)));
+        drop(member);
+        let Some((to, request)) = due else {
             return;
         };
         if to == own {
@@ -193,23 +215,34 @@
         }
         quotas.is_calling.set(true);
         Metrics::increment(&self.metrics.quota_messages);
-        let worker = Rc::clone(self);
-        ntex::rt::spawn(async move {
-            let wire = WireQuotaRequest::new(&request, own);
-            let answer = worker.call_quota(to, wire, CALL_TIMEOUT).await;
-            let Some(quotas) = &worker.quotas else {
-                return;
-            };
-            quotas.is_calling.set(false);
-            match answer {
-                Some(answer) => {
-                    quotas.choice.borrow_mut().record_answer(to);
-                    worker.receive_quota(quotas, now, to, &request, &answer.into());
+        ntex::rt::spawn(Rc::clone(self).call_coordinator(to, request, now));
+    }
+
+    async fn call_coordinator(self: Rc<Self>, to: SocketAddr, request: Request, sent_at: Time) {
+        let wire = WireQuotaRequest::new(&request, self.settings.peers);
+        let answer = self.call_quota(to, wire, CALL_TIMEOUT).await;
+        let Some(quotas) = &self.quotas else {
+            return;
+        };
+        quotas.is_calling.set(false);
+        let now = Clock.now();
+        match answer {
+            Ok(Some(answer)) => {
+                quotas.choice.borrow_mut().record_answer(to);
+                self.receive_quota(quotas, sent_at, to, &request, &answer.into());
+            }
+            Ok(None) => {
+                quotas.choice.borrow_mut().record_unable(now, to);
+                if request.is_leaving {
+                    quotas.member.borrow_mut().record_lost();
                 }
-                None => quotas.choice.borrow_mut().record_failure(Clock.now(), to),
             }
-            quotas.due.notify_one();
-        });
+            Err(_) => {
+                quotas.choice.borrow_mut().record_failure(now, to);
+                quotas.member.borrow_mut().record_lost();
+            }
+        }
+        quotas.due.notify_one();
     }
 
     fn receive_quota(
@@ -240,13 +273,12 @@
         let Some(quotas) = &self.quotas else {
             return;
         };
-        let member = quotas.member.borrow();
-        let leased_to = member.leased_to(Clock.now()).filter(|a| *a != self.settings.peers);
-        let wire = WireQuotaRequest::new(&member.leave(), self.settings.peers);
-        drop(member);
+        let own = self.settings.peers;
+        let leased_to = quotas.member.borrow().leased_to(Clock.now()).filter(|a| *a != own);
+        let wire = WireQuotaRequest::new(&quotas.member.borrow().leave(), own);
         if let Some(coordinator) = leased_to {
             let answer = self.call_quota(coordinator, wire, LEAVE_TIMEOUT).await;
-            tracing::info!(%coordinator, is_answered = answer.is_some(),
+            tracing::info!(%coordinator, is_answered = answer.is_ok(),
                 "the lease of this daemon's share was handed back");
         }
     }
@@ -258,6 +290,7 @@
         return;
     };
     let own: Arc<str> = Arc::from(worker.settings.peers.to_string());
+    let mut published_at = Time::ZERO;
     loop {
         let is_waiting = !quotas.waiting.borrow().is_empty();
         let tick = if is_waiting { WAITING_TICK } else { TICK };
@@ -275,6 +308,10 @@
         if has_workspaces {
             worker.exchange_quota(quotas);
         }
+        if now.since(published_at) < PUBLISH_INTERVAL {
+            continue;
+        }
+        published_at = now;
         let member = quotas.member.borrow();
         worker.metrics.quotas.update_tokens(|name| {
             let state = member.workspace(name)?;
--- a/crates/persimmon-proxy/src/quota/fleet_view.rs
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -65,9 +65,19 @@
         }
     }
 
-    /// What is needed, without that which the record has meanwhile.
-    pub(crate) fn take_need(&self) -> FleetNeed {
-        self.lock().need.take().unwrap_or_default()
+    /// What is needed and not in the record that was read last; `None` if that is nothing.
+    pub(crate) fn take_need(&self) -> Option<FleetNeed> {
+        let mut state = self.lock();
+        let mut need = state.need.take()?;
+        if let Some(record) = &state.record {
+            need.unregistered.retain(|daemon| record.index(daemon).is_none());
+            need.confirmed =
+                need.confirmed.filter(|_| record.size().floor < record.size().registered);
+            if need == FleetNeed::default() {
+                return None;
+            }
+        }
+        Some(need)
     }
 
     /// Sets the record as the store has it.
--- a/crates/persimmon-proxy/src/quota/mod.rs
+++ b/crates/persimmon-proxy/src/quota/mod.rs
@@ -132,8 +132,8 @@
         let now = Clock.now();
         let mut decision =
             quotas.member.borrow_mut().ask(now, name, limit, route.priority, patience);
-        quotas.due.notify_one();
         if let Decision::Waiting(id) = decision {
+            quotas.due.notify_one();
             let (tx, rx) = oneshot::channel();
             quotas.waiting.borrow_mut().insert(id, tx);
             // The decision of an operation that was displaced may be pending.
--- a/crates/persimmon-workspace/src/quota/member.rs
+++ b/crates/persimmon-workspace/src/quota/member.rs
@@ -61,6 +61,10 @@
     holder: Option<Holder>,
     lease_end: Time,
     lease_began: Option<Time>,
+    /// Until when a message that got no answer may still extend the lease at its coordinator.
+    lost_until: Time,
+    /// Whether the coordinator was asked to end the lease, and no other message was sent since.
+    is_releasing: bool,
     contact: Option<Contact>,
     accounts: HashMap<Arc<str>, Account>,
     /// Workspaces with operations that wait or that have arrived since the last message.
@@ -83,6 +87,8 @@
             holder: None,
             lease_end: now,
             lease_began: None,
+            lost_until: now,
+            is_releasing: false,
             contact: None,
             accounts: HashMap::new(),
             active: Vec::new(),
@@ -203,6 +209,27 @@
         Some(Request { index: self.index, size: self.size, claim, is_leaving: false, wants })
     }
 
+    /// The message that ends the lease at its coordinator before the share is leased to another one,
+    /// `coordinator`; `None` if the lease must end by itself or has ended.
+    pub fn next_release(
+        &mut self,
+        now: Time,
+        coordinator: SocketAddr,
+    ) -> Option<(SocketAddr, Request)> {
+        let holder = self.leased_to(now).filter(|holder| *holder != coordinator)?;
+        if now < self.lost_until || self.is_releasing {
+            return None;
+        }
+        self.is_releasing = true;
+        Some((holder, self.leave()))
+    }
+
+    /// Records that a request got no answer. It may still arrive.
+    pub fn record_lost(&mut self) {
+        self.is_releasing = false;
+        self.lost_until = self.lease_end;
+    }
+
     /// The message by which a daemon that shuts down ends its lease.
     #[must_use]
     pub fn leave(&self) -> Request {
@@ -254,13 +281,15 @@
             self.holder = Some(contact.holder);
             self.lease_began = Some(now);
         }
+        self.is_releasing = false;
         // The coordinator made the stamp before this daemon received it.
         self.lease_end = self.lease_end.max(contact.received_at + LOAN);
         Some(Claim { incarnation: contact.holder.incarnation, stamp: contact.stamp })
     }
 
-    /// Handles the answer to a request that was sent at `sent_at`; returns whether it tells a larger
-    /// size of the fleet.
+    /// Handles the answer to a request that was sent at `sent_at`; at most one request has neither an
+    /// answer nor been recorded as lost. Returns whether it
+    /// tells a larger size of the fleet.
     pub fn receive(
         &mut self,
         now: Time,
@@ -275,6 +304,12 @@
             self.contact = Some(Contact { holder, stamp: answer.stamp, received_at: now });
         }
         let is_news = self.learn(answer.size, answer.index);
+        if request.is_leaving && self.is_releasing && self.holder == Some(holder) {
+            // No message of this daemon is on its way that could extend the lease again.
+            self.is_releasing = false;
+            self.lease_end = self.lease_end.min(now);
+            self.renew_at = now;
+        }
         // A first answer has the stamp on which a lease can rest.
         let is_free = now >= self.lease_end && now >= self.started_at + LOAN;
         if request.claim.is_none() && self.index.is_some() && is_free {
--- a/crates/persimmon-workspace/tests/quota_fleet/mod.rs
+++ b/crates/persimmon-workspace/tests/quota_fleet/mod.rs
@@ -99,6 +99,10 @@
     SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).expect("few daemons")))
 }
 
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1_000
+}
+
 fn name(index: usize) -> Arc<str> {
     Arc::from(address(index).to_string())
 }
@@ -290,18 +294,27 @@
                 return;
             }
             self.daemons[index].in_flight = None;
+            self.daemons[index].member.record_lost();
             self.daemons[index].passed_over.insert(peer, self.now + PASS_OVER);
         }
         let to = self.choose(index);
+        if let Some((holder, request)) = self.daemons[index].member.next_release(now, address(to)) {
+            self.call(index, index_of(holder), now, request);
+            return;
+        }
         if let Some(request) = self.daemons[index].member.next_request(now, address(to)) {
-            let life = self.daemons[index].life;
-            self.daemons[index].in_flight = Some((to, self.now));
-            let event = Event::Request { from: index, life, sent_at: now, request };
-            if to == index {
-                self.deliver(index, event);
-            } else {
-                self.send(index, to, event);
-            }
+            self.call(index, to, now, request);
+        }
+    }
+
+    fn call(&mut self, index: usize, to: usize, now: Time, request: Request) {
+        let life = self.daemons[index].life;
+        self.daemons[index].in_flight = Some((to, self.now));
+        let event = Event::Request { from: index, life, sent_at: now, request };
+        if to == index {
+            self.deliver(index, event);
+        } else {
+            self.send(index, to, event);
         }
     }
 
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -22,7 +22,7 @@
     pub cluster: LineCluster,
     /// The daemons.
     pub daemons: Vec<Daemon>,
-    _folder: TempFolder,
+    folder: TempFolder,
 }
 
 /// A temporary folder that is removed when the test succeeds.
@@ -88,7 +88,7 @@
         holds_within(CONDITION_TIMEOUT, || daemons.iter().all(Daemon::is_ready)),
         "a daemon is not ready"
     );
-    Setup { cluster, daemons, _folder: folder }
+    Setup { cluster, daemons, folder }
 }
 
 impl Setup {
@@ -156,6 +156,20 @@
         self.cluster.publish_instances(false);
     }
 
+    /// Kills all daemons and starts them again with the same settings; they listen for clients on
+    /// other ports then, and their logs start anew.
+    pub fn restart_all(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        for daemon in &mut self.daemons {
+            let settings = self.folder.0.join(format!("{}.toml", daemon.name));
+            let settings = std::fs::read_to_string(settings).expect("the settings are kept");
+            *daemon = Daemon::start(&self.folder.0, &daemon.name.clone(), &settings)
+                .expect("the daemon starts");
+        }
+    }
+
     /// Whether a log line of a daemon satisfies `matches`.
     pub fn has_logged(&self, daemon: usize, matches: impl Fn(&Value) -> bool) -> bool {
         self.daemons[daemon].log_lines().is_ok_and(|lines| lines.iter().any(matches))
--- a/crates/persimmond/tests/quotas.rs
+++ b/crates/persimmond/tests/quotas.rs
@@ -10,6 +10,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use persimmon_lab::http;
 use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -32,9 +33,9 @@
 const MODEST: &str = "modest";
 const MODEST_RATE: f64 = 30.0;
 
-fn workspaces() -> Value {
+fn workspaces(greedy_rate: f64) -> Value {
     json!([
-        {"name": GREEDY, "api_keys": [GREEDY], "priority": 1, "rate_per_s": GREEDY_RATE,
+        {"name": GREEDY, "api_keys": [GREEDY], "priority": 1, "rate_per_s": greedy_rate,
             "burst": GREEDY_BURST},
         {"name": MODEST, "api_keys": [MODEST], "priority": 1, "rate_per_s": MODEST_RATE,
             "burst": 5.0},
@@ -45,11 +46,17 @@
 
 /// Starts daemons that enforce quotas, and waits until they grant.
 fn start(name: &str) -> Setup {
+    start_with(name, |cluster| cluster)
+}
+
+/// The same with changes to the fake platform.
+fn start_with(name: &str, change: impl FnOnce(LineCluster) -> LineCluster) -> Setup {
     let cluster = LineCluster::start(1, 3, InstanceProfile::default())
         .expect("the fake platform starts")
         .with_quota_bounds(WINDOW.as_secs_f64(), OVERAGE, SLACK);
-    cluster.set_workspaces(workspaces());
-    cluster.put_table(2, &[]);
+    let cluster = change(cluster);
+    cluster.set_workspaces(workspaces(GREEDY_RATE));
+    cluster.put_table(3, &[]);
     let setup = setup_on(name, DAEMONS, cluster);
     for daemon in 0..DAEMONS {
         assert!(
@@ -136,17 +143,23 @@
     Load::start(GREEDY, &all, Duration::from_millis(10))
 }
 
-/// The largest number of operations of a workspace that reached instances in one window.
-fn most_in_a_window(setup: &Setup, name: &str) -> usize {
-    let times: Vec<Instant> = setup.cluster.groups[0].0.reached(name);
+/// The largest number of operations of a workspace that reached instances in one window that starts
+/// after `from`.
+fn most_in_a_window(setup: &Setup, name: &str, from: Option<Instant>) -> usize {
+    let mut times: Vec<Instant> = setup.cluster.groups[0].0.reached(name);
+    times.retain(|at| from.is_none_or(|from| *at >= from));
     let in_window =
         |start: usize| times[start..].iter().take_while(|at| **at - times[start] <= WINDOW).count();
     (0..times.len()).map(in_window).max().unwrap_or(0)
 }
 
 fn assert_greedy_is_limited(setup: &Setup) {
-    let bound = (GREEDY_RATE * WINDOW.as_secs_f64() + GREEDY_BURST) * (1.0 + OVERAGE) + SLACK;
-    let most = most_in_a_window(setup, GREEDY);
+    assert_limited(setup, GREEDY_RATE, None);
+}
+
+fn assert_limited(setup: &Setup, rate: f64, from: Option<Instant>) {
+    let bound = (rate * WINDOW.as_secs_f64() + GREEDY_BURST) * (1.0 + OVERAGE) + SLACK;
+    let most = most_in_a_window(setup, GREEDY, from);
     let count = f64::from(u32::try_from(most).expect("few"));
     assert!(count <= bound, "{most} operations in a window, at most {bound} are allowed");
     assert!(most > 0, "nothing was served");
@@ -236,3 +249,74 @@
     assert_greedy_is_limited(&setup);
     setup.assert_no_violations();
 }
+
+#[test]
+fn the_limit_holds_when_all_daemons_start_anew() {
+    let mut setup = start("quota-restart");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+
+    setup.restart_all();
+    load.stop();
+    let load = greedy(&setup);
+    wait_for_served(&load, 100);
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
+
+/// Statements that an owner received before it was frozen must not be sent when it resumes.
+#[test]
+fn the_limit_holds_at_owners_that_are_frozen_and_resumed() {
+    let setup = start_with("quota-owner", |cluster| cluster.with_max_connections(6));
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+
+    for daemon in 0..DAEMONS {
+        setup.daemons[daemon].signal(Signal::STOP);
+        std::thread::sleep(Duration::from_secs(1));
+        setup.daemons[daemon].signal(Signal::CONT);
+        wait_for_served(&load, 30);
+    }
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
+
+#[test]
+fn a_lowered_quota_holds_and_the_metrics_show_it() {
+    let setup = start("quota-lowered");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+    let lowered = GREEDY_RATE / 4.0;
+
+    setup.cluster.set_workspaces(workspaces(lowered));
+    setup.cluster.put_table(4, &[]);
+    let has_applied = |daemon: usize| {
+        setup.has_logged(daemon, |l| l["message"] == "table activated" && l["version"] == 4)
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, || (0..DAEMONS).all(has_applied)), "not applied");
+    let applied_at = Instant::now();
+    let has_passed = || applied_at.elapsed() > WINDOW * 3;
+    assert!(holds_within(CONDITION_TIMEOUT, has_passed), "the time passes");
+    let (_, refused) = load.stop();
+
+    assert_limited(&setup, lowered, Some(applied_at));
+    let refused_in_metrics: u64 = (0..DAEMONS)
+        .map(|daemon| {
+            let lines = setup.daemons[daemon].log_lines().expect("a log");
+            let started = lines.iter().find(|l| l["message"] == "started").expect("a line");
+            let address = started["metrics"].as_str().expect("an address");
+            let address = address.parse().expect("an address");
+            let metrics = http::get_text(address, "/metrics").expect("metrics");
+            assert!(metrics.contains("persimmon_quota_tokens_held{workspace=\"greedy\"}"));
+            let name = "persimmon_quota_refused{workspace=\"greedy\"} ";
+            let value = metrics.lines().find_map(|line| line.strip_prefix(name));
+            value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
+        })
+        .sum();
+    assert!(refused_in_metrics >= refused, "{refused_in_metrics} in metrics, {refused} seen");
+    setup.assert_no_violations();
+}
