--- a/crates/persimmon-workspace/src/quota/limit.rs
+++ b/crates/persimmon-workspace/src/quota/limit.rs
@@ -14,9 +14,13 @@
 /// The shortest validity that leaves time for a round trip and for a wait at an instance.
 const MIN_VALIDITY: Duration = Duration::from_millis(300);
 
-/// Part of the allowance that the validity of tokens may use; the rest is capacity. With 0.5, loads
-/// of 0.6 of a rate of 2 to 9 a second that came in threes were refused in 1.4 % of cases.
-const VALIDITY_PART: f64 = 0.25;
+/// Part of the allowance that capacity may use; the rest is for the validity of tokens. With 0.5,
+/// loads of 0.6 of a rate of 2 to 9 a second that came in threes were refused in 1.4 % of cases.
+const CAPACITY_PART: f64 = 0.75;
+
+/// Capacity beyond the burst from which more serves random arrivals no better, in tokens and in
+/// seconds of the rate. Longer validity then lets statements wait longer at an instance.
+const USEFUL_CAPACITY: (f64, f64) = (30.0, 0.1);
 
 /// Part of the slack that lease starts may add: a whole token for each start at a window of 5 s and a
 /// slack of 20.
@@ -76,7 +80,9 @@
         let usable = bounds.max_operations(quota) - bounds.slack * (START_PART + LATE_PART);
         let mut rate = quota.rate_per_s;
         let allowance = usable - rate * window;
-        let validity = if rate > 0.0 { VALIDITY_PART * allowance / rate } else { f64::MAX };
+        let useful = quota.burst + USEFUL_CAPACITY.0.max(USEFUL_CAPACITY.1 * rate);
+        let left = allowance - useful.min(CAPACITY_PART * allowance);
+        let validity = if rate > 0.0 { left / rate } else { f64::MAX };
         let validity = validity.clamp(MIN_VALIDITY.as_secs_f64(), MAX_VALIDITY.as_secs_f64());
         let mut capacity = allowance - rate * validity;
         if capacity < 1.0 {
