Quotas: a share moves only to a coordinator that answers; a store with an older record is not used

A daemon that was passed over was tried again with the lease given up first, so that a frozen host cost its members about a second each time.

--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -34,7 +34,7 @@
         let Some(need) = fleet.take_need() else {
             continue;
         };
-        match update(&control, &need).await {
+        match update(&control, &fleet, &need).await {
             Ok(record) => {
                 let size = record.size();
                 tracing::info!(
@@ -58,7 +58,11 @@
 }
 
 /// Reads the record, and writes it if it lacks something; returns it as the store has it.
-async fn update(control: &Control, need: &FleetNeed) -> Result<FleetRecord, StoreError> {
+async fn update(
+    control: &Control,
+    fleet: &FleetView,
+    need: &FleetNeed,
+) -> Result<FleetRecord, StoreError> {
     let store = &control.platform.store;
     let read = store.read(ObjectKind::Fleet, Arc::from(NAME)).await;
     control.record_store_call("read", read.as_ref().err());
@@ -68,13 +72,20 @@
         Some(object) => Some(parse(&object.value)?),
         None => None,
     };
+    let newest = fleet.newest(stored.clone()).ok_or_else(|| {
+        StoreError::Refused("the store has an older record than daemons know".to_owned())
+    })?;
     let mut members = need.unregistered.clone();
-    if stored.is_none() {
+    if newest.is_none() {
         members.extend(settled_members(control).await);
     }
-    let Some(record) = FleetRecord::updated(stored.as_ref(), members, need.confirmed) else {
-        return stored.ok_or_else(|| StoreError::Refused("no daemon is known".to_owned()));
-    };
+    let updated = FleetRecord::updated(newest.as_ref(), members, need.confirmed);
+    let is_stored = updated.is_none() && newest == stored;
+    let record = updated.or(newest);
+    let record = record.ok_or_else(|| StoreError::Refused("no daemon is known".to_owned()))?;
+    if is_stored {
+        return Ok(record);
+    }
     let value = serde_json::to_value(&record)
         .map_err(|err| StoreError::Refused(format!("the record cannot be encoded: {err}")))?;
     let expect = object.map(|o| o.revision);
--- a/crates/persimmon-proxy/src/quota/exchange.rs
+++ b/crates/persimmon-proxy/src/quota/exchange.rs
@@ -53,8 +53,18 @@
     /// The version of the peers from which the candidates were determined.
     version: Option<u64>,
     candidates: Vec<SocketAddr>,
-    /// Number of failures in a row, and until when the daemon is passed over.
-    failed: HashMap<SocketAddr, (u32, Time)>,
+    health: HashMap<SocketAddr, Health>,
+}
+
+/// What is known of a candidate.
+#[derive(Clone, Copy, Debug)]
+struct Health {
+    /// Whether it answered the last message.
+    has_answered: bool,
+    /// Failures in a row.
+    failures: u32,
+    /// When it is asked again, if it did not answer.
+    probe_at: Time,
 }
 
 impl CoordinatorChoice {
@@ -72,37 +82,57 @@
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         ranked.truncate(CANDIDATES);
         self.candidates = ranked.into_iter().map(|(_, _, address)| address).collect();
-        self.failed.retain(|address, _| self.candidates.contains(address));
+        self.health.retain(|address, _| self.candidates.contains(address));
     }
 
-    /// The first candidate that is not passed over. This daemon is one if it is registered, as it
-    /// could not grant otherwise, and may learn its index from another.
-    fn choose(&mut self, now: Time, own: SocketAddr, is_registered: bool) -> SocketAddr {
+    /// The first candidate that answers. One that was never asked is tried where nothing is lost by
+    /// it. This daemon is one if it is registered, as it could not grant otherwise, and may learn its
+    /// index from another.
+    fn choose(&self, own: SocketAddr, is_registered: bool, has_lease: bool) -> SocketAddr {
         let is_usable = |address: &&SocketAddr| {
             if **address == own {
                 return is_registered;
             }
-            self.failed.get(*address).is_none_or(|(_, until)| *until <= now)
+            self.health.get(*address).map_or(!has_lease, |health| health.has_answered)
         };
         self.candidates.iter().find(is_usable).copied().unwrap_or(own)
     }
 
+    /// A candidate before `chosen` that should be asked whether it answers.
+    fn due_probe(&mut self, now: Time, own: SocketAddr, chosen: SocketAddr) -> Option<SocketAddr> {
+        let before = self.candidates.iter().take_while(|address| **address != chosen);
+        let is_due = |address: &&SocketAddr| {
+            let health = self.health.get(*address);
+            **address != own && health.is_none_or(|h| !h.has_answered && h.probe_at <= now)
+        };
+        let address = before.copied().find(|address| is_due(&address))?;
+        let health = self.health.entry(address).or_insert(Health {
+            has_answered: false,
+            failures: 0,
+            probe_at: now,
+        });
+        health.probe_at = now + PASS_OVER;
+        Some(address)
+    }
+
     fn record_failure(&mut self, now: Time, address: SocketAddr) {
-        let (failures, until) = self.failed.entry(address).or_insert((0, now));
-        let pause = PASS_OVER * 2_u32.saturating_pow((*failures).min(6));
-        *failures += 1;
-        *until = now + pause.min(MAX_PASS_OVER);
-        tracing::info!(coordinator = %address, failures = *failures,
+        let failures = self.health.get(&address).map_or(0, |h| h.failures);
+        let pause = PASS_OVER * 2_u32.saturating_pow(failures.min(6));
+        let probe_at = now + pause.min(MAX_PASS_OVER);
+        let health = Health { has_answered: false, failures: failures + 1, probe_at };
+        self.health.insert(address, health);
+        tracing::info!(coordinator = %address, failures = health.failures,
             "the quota coordinator does not answer and is passed over");
     }
 
     /// Records that a daemon answered that it cannot coordinate at present.
     fn record_unable(&mut self, now: Time, address: SocketAddr) {
-        self.failed.insert(address, (0, now + UNABLE_PAUSE));
+        let probe_at = now + UNABLE_PAUSE;
+        self.health.insert(address, Health { has_answered: false, failures: 0, probe_at });
     }
 
-    fn record_answer(&mut self, address: SocketAddr) {
-        self.failed.remove(&address);
+    fn record_answer(&mut self, now: Time, address: SocketAddr) {
+        self.health.insert(address, Health { has_answered: true, failures: 0, probe_at: now });
     }
 }
 
@@ -114,6 +144,7 @@
         let is_news = member.learn(size, index);
         let (size, is_registered) = (member.size(), member.index().is_some());
         drop(member);
+        self.fleet.learn(size);
         self.coordinator.borrow_mut().set_fleet(now, size, is_registered);
         if is_news {
             tracing::info!(
@@ -192,10 +223,17 @@
             return;
         }
         let to = if self.settings.forwarding.is_some() {
+            let member = quotas.member.borrow();
+            let (is_registered, has_lease) =
+                (member.index().is_some(), member.leased_to(now).is_some());
+            drop(member);
             let mut choice = quotas.choice.borrow_mut();
             choice.update(&self.peers);
-            let is_registered = quotas.member.borrow().index().is_some();
-            choice.choose(now, own, is_registered)
+            let chosen = choice.choose(own, is_registered, has_lease);
+            if let Some(peer) = choice.due_probe(now, own, chosen) {
+                ntex::rt::spawn(Rc::clone(self).probe_coordinator(peer));
+            }
+            chosen
         } else {
             own
         };
@@ -218,6 +256,24 @@
         ntex::rt::spawn(Rc::clone(self).call_coordinator(to, request, now));
     }
 
+    /// Asks a daemon whether it would coordinate, so that the share moves only to one that does.
+    async fn probe_coordinator(self: Rc<Self>, peer: SocketAddr) {
+        let Some(quotas) = &self.quotas else {
+            return;
+        };
+        let (index, size) = (quotas.member.borrow().index(), quotas.member.borrow().size());
+        let request = Request { index, size, ..Request::default() };
+        let wire = WireQuotaRequest::new(&request, self.settings.peers);
+        Metrics::increment(&self.metrics.quota_messages);
+        let answer = self.call_quota(peer, wire, CALL_TIMEOUT).await;
+        let (now, mut choice) = (Clock.now(), quotas.choice.borrow_mut());
+        match answer {
+            Ok(Some(_)) => choice.record_answer(now, peer),
+            Ok(None) => choice.record_unable(now, peer),
+            Err(_) => choice.record_failure(now, peer),
+        }
+    }
+
     async fn call_coordinator(self: Rc<Self>, to: SocketAddr, request: Request, sent_at: Time) {
         let wire = WireQuotaRequest::new(&request, self.settings.peers);
         let answer = self.call_quota(to, wire, CALL_TIMEOUT).await;
@@ -228,7 +284,7 @@
         let now = Clock.now();
         match answer {
             Ok(Some(answer)) => {
-                quotas.choice.borrow_mut().record_answer(to);
+                quotas.choice.borrow_mut().record_answer(now, to);
                 self.receive_quota(quotas, sent_at, to, &request, &answer.into());
             }
             Ok(None) => {
--- a/crates/persimmon-proxy/src/quota/fleet_view.rs
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 struct State {
     record: Option<FleetRecord>,
+    /// The largest size that any daemon has told.
+    known: FleetSize,
     need: Option<FleetNeed>,
 }
 
@@ -46,6 +48,22 @@
         (record.size(), record.index(daemon))
     }
 
+    /// Records a size of the fleet that this process has learned.
+    pub(crate) fn learn(&self, size: FleetSize) {
+        self.lock().known.merge(size);
+    }
+
+    /// The record that replaces `stored`, or the stored one if it has all that is known. A store that
+    /// was restored from a copy may have an older record, whose indices daemons may not get again;
+    /// `None` if this process does not have the newer one either.
+    pub(crate) fn newest(&self, stored: Option<FleetRecord>) -> Option<Option<FleetRecord>> {
+        let state = self.lock();
+        let has_all = |record: &Option<FleetRecord>| {
+            record.as_ref().map_or(0, |r| r.size().registered) >= state.known.registered
+        };
+        [stored, state.record.clone()].into_iter().find(has_all)
+    }
+
     /// Requests that the record is read, and changed if it lacks something.
     pub(crate) fn request(&self, daemon: Option<Arc<str>>, confirmed: Option<u32>) {
         let mut state = self.lock();
@@ -82,6 +100,8 @@
 
     /// Sets the record as the store has it.
     pub(crate) fn set(&self, record: FleetRecord) {
-        self.lock().record = Some(record);
+        let mut state = self.lock();
+        state.known.merge(record.size());
+        state.record = Some(record);
     }
 }
