--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -162,14 +162,20 @@
         for daemon in &mut self.daemons {
             daemon.kill();
         }
-        for daemon in &mut self.daemons {
-            let settings = self.folder.0.join(format!("{}.toml", daemon.name));
-            let settings = std::fs::read_to_string(settings).expect("the settings are kept");
-            *daemon = Daemon::start(&self.folder.0, &daemon.name.clone(), &settings)
-                .expect("the daemon starts");
+        for number in 0..self.daemons.len() {
+            self.start_again(number);
         }
     }
 
+    /// Starts a daemon that has ended again, with the same settings.
+    pub fn start_again(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        let settings = self.folder.0.join(format!("{}.toml", daemon.name));
+        let settings = std::fs::read_to_string(settings).expect("the settings are kept");
+        *daemon = Daemon::start(&self.folder.0, &daemon.name.clone(), &settings)
+            .expect("the daemon starts");
+    }
+
     /// Whether a log line of a daemon satisfies `matches`.
     pub fn has_logged(&self, daemon: usize, matches: impl Fn(&Value) -> bool) -> bool {
         self.daemons[daemon].log_lines().is_ok_and(|lines| lines.iter().any(matches))
--- a/crates/persimmond/tests/quotas.rs
+++ b/crates/persimmond/tests/quotas.rs
@@ -320,3 +320,57 @@
     assert!(refused_in_metrics >= refused, "{refused_in_metrics} in metrics, {refused} seen");
     setup.assert_no_violations();
 }
+
+#[test]
+fn the_limit_holds_while_daemons_are_stopped_one_after_another() {
+    let mut setup = start("quota-rolling");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+    let mut handed_back = 0;
+
+    for daemon in 0..DAEMONS {
+        setup.daemons[daemon].signal(Signal::TERM);
+        let has_ended = || setup.daemons[daemon].try_wait().is_ok_and(|status| status.is_some());
+        assert!(holds_within(CONDITION_TIMEOUT, has_ended), "the daemon does not end");
+        let is_handed_back = |line: &Value| {
+            line["message"] == "the lease of this daemon's share was handed back"
+                && line["is_answered"] == true
+        };
+        handed_back += usize::from(setup.has_logged(daemon, is_handed_back));
+        setup.start_again(daemon);
+        assert!(
+            holds_within(CONDITION_TIMEOUT, || is_served(&setup, daemon)),
+            "nothing is granted"
+        );
+    }
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    assert!(handed_back >= 2, "{handed_back} of {DAEMONS} daemons handed their lease back");
+    setup.assert_no_violations();
+}
+
+/// A store that was restored from a copy may lack the record of the fleet. Shares must not be counted
+/// anew while daemons rely on the old ones.
+#[test]
+fn the_limit_holds_when_the_record_of_the_fleet_is_lost() {
+    let mut setup = start("quota-record");
+    let load = greedy(&setup);
+    wait_for_served(&load, 60);
+
+    setup.cluster.store.remove("persimmon-fleet", "fleet");
+    let killed = coordinator(&setup);
+    setup.daemons[killed].kill();
+    setup.start_again(killed);
+    for daemon in 0..DAEMONS {
+        assert!(
+            holds_within(CONDITION_TIMEOUT, || is_served(&setup, daemon)),
+            "nothing is granted"
+        );
+    }
+    wait_for_served(&load, 60);
+
+    load.stop();
+    assert_greedy_is_limited(&setup);
+    setup.assert_no_violations();
+}
