--- a/crates/persimmon-lab/src/line_cluster/group.rs
+++ b/crates/persimmon-lab/src/line_cluster/group.rs
@@ -289,6 +289,12 @@
         self.lock().first_reached.entry(id.to_owned()).or_insert_with(Instant::now);
     }
 
+    /// Whether a request has reached an instance.
+    #[must_use]
+    pub fn has_reached(&self, id: &str) -> bool {
+        self.lock().first_reached.contains_key(id)
+    }
+
     /// When each request of the client `name` first reached an instance, in order.
     #[must_use]
     pub fn reached(&self, name: &str) -> Vec<Instant> {
--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{ObjectKind, ReadResult, StoreError};
+use persimmon_types::Clock;
 use persimmon_workspace::quota::FleetRecord;
 use serde::Deserialize;
 
@@ -15,6 +16,9 @@
 use crate::control::backoff::Backoff;
 use crate::quota::{FleetNeed, FleetView};
 
+/// The longest wait for that; a fleet that starts more slowly grows the record afterwards.
+const MAX_SETTLE_TIME: Duration = Duration::from_secs(6);
+
 /// The name of the record.
 const NAME: &str = "fleet";
 
@@ -108,12 +112,13 @@
     Ok(record.restored())
 }
 
-/// The known daemons, once their number has not changed for a while.
+/// The known daemons, once their number has not changed for a while or enough time has passed.
 async fn settled_members(control: &Control) -> Vec<Arc<str>> {
+    let deadline = Clock.now() + MAX_SETTLE_TIME;
     let mut count = None;
     loop {
         let known = control.peers.daemon_count();
-        if known.is_some() && known == count {
+        if (known.is_some() && known == count) || Clock.now() >= deadline {
             let members = control.peers.members();
             return members.iter().map(|m| Arc::from(m.address.to_string())).collect();
         }
--- a/crates/persimmond/tests/quotas.rs
+++ b/crates/persimmond/tests/quotas.rs
@@ -46,12 +46,12 @@
 
 /// Starts daemons that enforce quotas, and waits until they grant.
 fn start(name: &str) -> Setup {
-    start_with(name, |cluster| cluster)
+    start_with(name, 1, |cluster| cluster)
 }
 
-/// The same with changes to the fake platform.
-fn start_with(name: &str, change: impl FnOnce(LineCluster) -> LineCluster) -> Setup {
-    let cluster = LineCluster::start(1, 3, InstanceProfile::default())
+/// The same with `groups` services and changes to the fake platform.
+fn start_with(name: &str, groups: usize, change: impl FnOnce(LineCluster) -> LineCluster) -> Setup {
+    let cluster = LineCluster::start(groups, 3, InstanceProfile::default())
         .expect("the fake platform starts")
         .with_quota_bounds(WINDOW.as_secs_f64(), OVERAGE, SLACK);
     let cluster = change(cluster);
@@ -269,7 +269,7 @@
 /// Statements that an owner received before it was frozen must not be sent when it resumes.
 #[test]
 fn the_limit_holds_at_owners_that_are_frozen_and_resumed() {
-    let setup = start_with("quota-owner", |cluster| cluster.with_max_connections(6));
+    let setup = start_with("quota-owner", 1, |cluster| cluster.with_max_connections(6));
     let load = greedy(&setup);
     wait_for_served(&load, 60);
 
@@ -374,3 +374,57 @@
     assert_greedy_is_limited(&setup);
     setup.assert_no_violations();
 }
+
+/// The services of a fleet in which one is likely to be owned by another daemon than coordinates.
+const SERVICES: usize = 6;
+
+/// A service whose owner does not coordinate, a daemon that is neither, and the owner.
+fn service_forwarder_and_owner(setup: &Setup) -> (usize, usize, usize) {
+    let coordinator = coordinator(setup);
+    let forwarder = (coordinator + 1) % DAEMONS;
+    for service in 0..SERVICES {
+        let database = format!("p{service}");
+        let mut client = setup.client(forwarder, &database, "probe");
+        assert!(client.query("READ item").expect("a response").result.is_ok());
+        let mut owner = None;
+        let is_logged = || {
+            let lines = setup.daemons[forwarder].log_lines().expect("a log");
+            let is_request = |l: &&Value| l["message"] == "request" && l["database"] == *database;
+            let line = lines.iter().rev().find(is_request).cloned();
+            owner = line.as_ref().map(|line| {
+                let is_owner = |d: &Daemon| line["owner"] == *d.addresses.peers.to_string();
+                setup.daemons.iter().position(is_owner)
+            });
+            owner.is_some()
+        };
+        assert!(holds_within(CONDITION_TIMEOUT, is_logged), "no request was logged");
+        if let Some(owner) = owner.flatten().filter(|owner| *owner != coordinator) {
+            return (service, forwarder, owner);
+        }
+    }
+    panic!("the coordinator or the forwarder owns every service");
+}
+
+/// Guards against operations that move into another window because their owner was frozen: the
+/// token of the statement has expired when the owner resumes.
+#[test]
+fn a_statement_is_not_sent_after_its_token_has_expired() {
+    let setup = start_with("quota-expired", SERVICES, |cluster| cluster.with_max_connections(6));
+    let (service, forwarder, owner) = service_forwarder_and_owner(&setup);
+    let mut client = setup.client(forwarder, &format!("p{service}"), "probe");
+    assert!(client.query("WRITE item before").expect("a response").result.is_ok());
+
+    setup.daemons[owner].signal(Signal::STOP);
+    client.send("WRITE item late").expect("the request is sent");
+    // Longer than the token of this workspace is valid, and shorter than the client waits.
+    let sent_at = Instant::now();
+    let has_expired = || sent_at.elapsed() > Duration::from_millis(800);
+    assert!(holds_within(CONDITION_TIMEOUT, has_expired), "the time passes");
+    setup.daemons[owner].signal(Signal::CONT);
+    let answer = client.receive_response().expect("a response");
+
+    assert_eq!(answer.code(), Some("BUSY"), "{answer:?}");
+    let was_sent = setup.cluster.groups[service].0.has_reached(client.last_id());
+    assert!(!was_sent, "the statement was sent with an expired token");
+    setup.assert_no_violations();
+}
