Quota tests begin once all shares are with one coordinator

a_workspace_below_its_quota_is_served_at_one_daemon failed once in three runs on a busy machine: it sent its load while the shares of two of four daemons were still on their way to the coordinator.

--- a/crates/persimmond/tests/quotas.rs
+++ b/crates/persimmond/tests/quotas.rs
@@ -64,6 +64,15 @@
             "nothing is granted"
         );
     }
+    // While a fleet assembles, its shares are with several coordinators.
+    let have_one_coordinator = || {
+        let first = leased_to(&setup, 0);
+        first.is_some() && (1..DAEMONS).all(|daemon| leased_to(&setup, daemon) == first)
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, have_one_coordinator), "several coordinators");
+    let began = Instant::now();
+    let are_buckets_filled = || began.elapsed() > Duration::from_secs(1);
+    assert!(holds_within(CONDITION_TIMEOUT, are_buckets_filled), "the time passes");
     setup
 }
 
@@ -165,14 +174,26 @@
     assert!(most > 0, "nothing was served");
 }
 
-/// The daemon to which the share of another is leased, by its log.
-fn coordinator(setup: &Setup) -> usize {
-    let lines = setup.daemons[0].log_lines().expect("a log");
-    let is_change =
-        |line: &&Value| line["message"] == "the quota coordinator of this daemon changed";
-    let last = lines.iter().rev().find(is_change).expect("a coordinator");
+/// The daemon to which a daemon's share is leased, by its log.
+fn leased_to(setup: &Setup, daemon: usize) -> Option<usize> {
+    let lines = setup.daemons[daemon].log_lines().expect("a log");
+    let began = "the quota coordinator of this daemon changed";
+    let ended = "the lease of this daemon's share ended";
+    let is_change = |line: &&Value| line["message"] == began || line["message"] == ended;
+    let last = lines.iter().rev().find(is_change).filter(|line| line["message"] == began)?;
     let is_named = |d: &Daemon| last["coordinator"] == *d.addresses.peers.to_string();
-    setup.daemons.iter().position(is_named).expect("a daemon of the fleet")
+    setup.daemons.iter().position(is_named)
+}
+
+/// The daemon to which the first daemon's share is leased.
+fn coordinator(setup: &Setup) -> usize {
+    let mut found = None;
+    let is_found = || {
+        found = leased_to(setup, 0);
+        found.is_some()
+    };
+    assert!(holds_within(CONDITION_TIMEOUT, is_found), "the share is leased to no daemon");
+    found.unwrap_or_default()
 }
 
 fn wait_for_served(load: &Load, more: u64) {
