--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod check;
+mod fleet;
 mod follow;
 mod on_demand;
 mod peers;
@@ -33,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 use crate::peer_service::{PeerError, PeerServiceClient, connect};
+use crate::quota::FleetView;
 use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayReply, RelayedKind};
 use crate::sampling::LatestSamples;
@@ -67,6 +69,8 @@
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
     pub(crate) table_checks: Arc<TableChecks>,
+    /// The record of the fleet, for quotas.
+    pub(crate) fleet: Arc<FleetView>,
 }
 
 /// The state of the control thread.
@@ -373,5 +377,6 @@
     ntex::rt::spawn(follow::follow_directory(Rc::clone(&control)));
     ntex::rt::spawn(on_demand::check_on_demand(Rc::clone(&control), parts.table_checks));
     ntex::rt::spawn(peers::exchange_with_peers(Rc::clone(&control)));
+    ntex::rt::spawn(fleet::keep_record(Rc::clone(&control), parts.fleet));
     promotion::run(control, parts.suspicions).await;
 }
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -52,7 +52,9 @@
         let mut full = FullInstances::default();
         loop {
             let selected = self.select_instance(job, &mut execution, &tried, &full).await;
-            if selected.is_none() && full.instances.is_empty() {
+            // A retry counts as the same operation of the client.
+            let may_send = execution.was_sent || job.may_send(Clock.now());
+            if !may_send || (selected.is_none() && full.instances.is_empty()) {
                 execution.failure = Some(failure_text(&AttemptFailure::NotSent));
                 return execution.refused(ErrorCode::Busy);
             }
@@ -316,6 +318,11 @@
         }
         let after = if execution.mode == ExecutionMode::Copy { execution.after } else { None };
         let rolls_back = execution.mode == ExecutionMode::Guarded;
+        if !execution.was_sent && !job.may_send(Clock.now()) {
+            self.rollback_if_open(connection).await;
+            return Err(AttemptFailure::NotSent);
+        }
+        execution.was_sent = true;
         let mut limit = job.deadline.since(Clock.now()).max(Duration::from_millis(1));
         if execution.mode.attempt_kind() == AttemptKind::Read {
             limit = limit.mul_f64(READ_ATTEMPT_SHARE);
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -8,6 +8,7 @@
 use crate::forwarding::wire::{
     WireAnswer, WireCode, WireFailure, WireMode, WireQueueReport, WireStatement,
 };
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 
 /// Why a daemon did not run a forwarded statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +63,12 @@
     pub(crate) min_position_wait_us: u64,
     pub(crate) connection_wait_us: u64,
     pub(crate) commit_position: Option<persimmon_types::Position>,
+    /// Whether it was sent to no instance.
+    #[serde(default)]
+    pub(crate) was_not_sent: bool,
+    /// The time of the answer on the owner's clock, in microseconds.
+    #[serde(default)]
+    pub(crate) clock_us: u64,
 }
 
 /// A later statement of a transaction.
@@ -94,4 +101,11 @@
 
     /// Returns at once.
     async fn ping();
+
+    /// Returns the time on the daemon's clock, in microseconds.
+    async fn clock() -> u64;
+
+    /// Leases the caller's share of the quotas and requests tokens; `None` if the daemon does not
+    /// coordinate.
+    async fn quota(request: WireQuotaRequest) -> Option<WireQuotaAnswer>;
 }
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::dispatch_metrics::DispatchMetrics;
+use crate::quota::QuotaMetrics;
 
 /// Upper bounds of the latency buckets, in milliseconds: from the overhead of the proxy to the
 /// longest client deadline.
@@ -54,6 +55,8 @@
             pub directory_age_ms: AtomicU64,
             /// Milliseconds since the table was last known to be the store's.
             pub table_age_ms: AtomicU64,
+            /// Quotas by workspace.
+            pub quotas: QuotaMetrics,
             /// Bytes of the values and prepared statements of all sessions.
             pub session_state_bytes: AtomicU64,
             /// Statements that wait for room at an instance.
@@ -128,6 +131,10 @@
     store_checks,
     /// Calls to the store that failed.
     store_failures,
+    /// Operations refused because their workspace is over its quota.
+    over_quota,
+    /// Quota messages sent to other daemons.
+    quota_messages,
     /// Attempts to open connections to other daemons.
     peer_connections,
     /// Promotions requested.
@@ -160,6 +167,7 @@
             // Writing to a string cannot fail.
             let _ = writeln!(out, "# TYPE persimmon_{name} gauge\npersimmon_{name} {value}");
         }
+        self.quotas.render(&mut out);
         self.statement.render("persimmon_statement", &mut out);
         self.dispatch.render(&mut out);
         out
--- a/crates/persimmon-proxy/src/run.rs
+++ b/crates/persimmon-proxy/src/run.rs
@@ -18,6 +18,7 @@
 use crate::logging::{DEFAULT_FILTER, start_logging};
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
+use crate::quota::FleetView;
 use crate::reachability::Reachability;
 use crate::relay::Relay;
 use crate::sampling::LatestSamples;
@@ -78,6 +79,7 @@
     let settings = Arc::new(settings);
     let relay = Arc::new(Relay::new());
     let table_checks = Arc::new(TableChecks::default());
+    let fleet = Arc::new(FleetView::default());
     let (snapshot_tx, snapshot) = watch::channel(Arc::new(RoutingSnapshot::default()));
     let (suspicions_tx, suspicions) = mpsc::channel(SUSPICION_QUEUE);
     let (stage_tx, stage) = watch::channel(ShutdownStage::Serving);
@@ -96,6 +98,7 @@
         samples: Arc::clone(&samples),
         relay: Arc::clone(&relay),
         table_checks: Arc::clone(&table_checks),
+        fleet: Arc::clone(&fleet),
     })?;
     let parts = traffic::Parts {
         settings,
@@ -110,6 +113,7 @@
         samples,
         relay,
         table_checks,
+        fleet,
     };
     let system = System::new("traffic", DefaultRuntime);
     system.block_on(async move {
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -88,6 +88,8 @@
     pub(crate) fresh_as_of: Time,
     /// Time by which the client must have an answer.
     pub(crate) deadline: Time,
+    /// Time before which it must be sent to an instance, as its quota token expires then.
+    pub(crate) send_by: Option<Time>,
 }
 
 impl<'a> StatementJob<'a> {
@@ -118,6 +120,11 @@
         ConnectionRank { priority: self.route.priority, objective_at: self.objective_at() }
     }
 
+    /// Whether it may be sent to an instance for the first time at `now`.
+    pub(crate) fn may_send(&self, now: Time) -> bool {
+        self.send_by.is_none_or(|send_by| now < send_by)
+    }
+
     /// Time until which the statement waits for a connection: at most its latency target, so that a
     /// client that is refused can still retry at another daemon.
     pub(crate) fn connection_deadline(&self, now: Time) -> Time {
@@ -179,6 +186,8 @@
     pub(crate) congestion_ms: Option<f64>,
     /// How it waited for room at an instance, if it did.
     pub(crate) queue: Option<QueueReport>,
+    /// Whether it may have been sent to an instance.
+    pub(crate) was_sent: bool,
     /// Whether a sent attempt got no answer, so that it may have run.
     pub(crate) was_lost: bool,
     /// Whether it has waited for admission.
@@ -208,6 +217,7 @@
             failure: None,
             congestion_ms: None,
             queue: None,
+            was_sent: false,
             was_lost: false,
             was_throttled: false,
             retry_after: RETRY_AFTER,
@@ -226,6 +236,7 @@
     /// The outcome after an earlier attempt that was sent and got no answer.
     pub(crate) fn after_lost_attempt(mut self) -> Self {
         self.was_lost = true;
+        self.was_sent = true;
         self.result = self.result.map_err(|code| final_error_code(code, true));
         self
     }
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -25,6 +25,7 @@
 use crate::peer_list::PeerList;
 use crate::pool::Pool;
 use crate::primaries::PrimaryState;
+use crate::quota::{self, FleetView, Quotas};
 use crate::reachability::Reachability;
 
 use crate::relay::{Relay, RelayedKind};
@@ -106,6 +107,8 @@
     pub(crate) table_checks: Arc<TableChecks>,
     /// Room for large frames from other daemons.
     pub(crate) frame_room: FrameRoom,
+    /// The quotas of workspaces; `None` in a deployment without quotas.
+    pub(crate) quotas: Option<Quotas>,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -125,6 +128,7 @@
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
     pub(crate) table_checks: Arc<TableChecks>,
+    pub(crate) fleet: Arc<FleetView>,
 }
 
 impl Worker {
@@ -149,6 +153,7 @@
             forwarded_budget: Rc::new(MemoryBudget::new(limits.forwarded_bytes)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
             table_checks: parts.table_checks,
+            quotas: parts.settings.quota.map(|bounds| Quotas::new(bounds, parts.fleet)),
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
@@ -259,6 +264,7 @@
         }
     });
     ntex::rt::spawn(keep_prewarmed(Rc::clone(worker)));
+    ntex::rt::spawn(quota::run(Rc::clone(worker)));
     let sweeping = Rc::clone(worker);
     ntex::rt::spawn(async move {
         loop {
