--- a/crates/persimmon-balancing/src/dispatch/service_rate.rs
+++ b/crates/persimmon-balancing/src/dispatch/service_rate.rs
@@ -26,10 +26,10 @@
 const MIN_PER_MS: f64 = 0.01;
 
 /// Weight of a new observation in the averages of the delay.
-const DELAY_WEIGHT: f64 = 0.1;
+const DELAY_WEIGHT: f64 = 0.2;
 
 /// Bound of one observed delay, in milliseconds, because some statements simply run long.
-const MAX_DELAY_MS: f64 = 300.0;
+const MAX_DELAY_MS: f64 = 1_000.0;
 
 /// Half-life of the delay: without answers, the instance may have recovered.
 const DELAY_HALF_LIFE: Duration = Duration::from_secs(1);
--- a/crates/persimmon-balancing/tests/dispatch.rs
+++ b/crates/persimmon-balancing/tests/dispatch.rs
@@ -99,6 +99,7 @@
         factors,
         seconds: 20,
         returning: 0,
+        slowdown: 1.0,
         owners: 3,
     }
 }
@@ -176,6 +177,25 @@
     }
 }
 
+/// Guards against statements that are sent to a slow instance so late that they end in doubt, and
+/// against a slow instance that serves the less urgent.
+#[test]
+fn slow_instance_serves_the_urgent_and_refuses_the_rest() {
+    for (name, classes) in [("tangaroa", tangaroa()), ("shikongo", shikongo())] {
+        let load = Load { slowdown: 4.5, ..load(classes, 0.5) };
+
+        let (before, after) = compare(&format!("{name}, slow instance"), &load);
+
+        assert!(after.value() >= before.value(), "{name}: {:.3}", after.value());
+        let urgent = after.by_class[0].share_served();
+        assert!(urgent >= GOAL, "{name}: {urgent:.3} of the most urgent class served");
+        for (class, outcome) in load.classes.iter().zip(&after.by_class) {
+            let held = outcome.unanswered as f64 / outcome.offered as f64;
+            assert!(held <= MAX_HELD_SHARE, "{name}: {held:.4} of {} unanswered", class.name);
+        }
+    }
+}
+
 /// Guards against one workspace that takes the room of the others: their load fits without it.
 #[test]
 fn hot_workspace_does_not_take_the_room_of_the_others() {
--- a/crates/persimmon-balancing/tests/load/instance.rs
+++ b/crates/persimmon-balancing/tests/load/instance.rs
@@ -47,7 +47,10 @@
         match work {
             Work::Statement { id, sent } => {
                 let mean_us = self.operations[id].statement_ms * 1_000.0;
-                let took = (mean_us * self.rng.random_range(0.5..1.5)) as u64;
+                let end_us = self.load.seconds * 1_000_000;
+                let is_slow = (end_us / 4..end_us * 3 / 4).contains(&now);
+                let factor = if is_slow { self.load.slowdown } else { 1.0 };
+                let took = (mean_us * factor * self.rng.random_range(0.5..1.5)) as u64;
                 self.push(now + took, Event::Done { id, sent });
             }
             Work::Handshake { owner } => self.push(now + HANDSHAKE_US, Event::Connected { owner }),
--- a/crates/persimmon-balancing/tests/load/mod.rs
+++ b/crates/persimmon-balancing/tests/load/mod.rs
@@ -67,6 +67,8 @@
     pub seconds: u64,
     /// Operations that arrive within the first 100 ms, while no connection is open.
     pub returning: usize,
+    /// Factor by which statements take longer in the middle half of the time.
+    pub slowdown: f64,
     /// Daemons that send the work of the instance.
     pub owners: usize,
 }
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -161,7 +161,7 @@
                 let state = if is_draining { "draining" } else { "ready" };
                 let entry = json!({
                     "service": group.name, "address": instance.proxy.address.to_string(),
-                    "zone": "z1", "version": "v1", "slots": 5, "state": state, "cold_ms": 0,
+                    "zone": "z1", "version": "v1", "slots": group.profile.slots, "state": state, "cold_ms": 0,
                     "db_role": group.role(index), "born": group.born(index),
                 });
                 self.write_entry(&instance.id, entry, false);
