--- a/crates/persimmon-proxy/src/client_limits.rs
+++ b/crates/persimmon-proxy/src/client_limits.rs
@@ -11,8 +11,8 @@
 
 use persimmon_types::Time;
 
-/// Memory of a host whose settings name none, in bytes.
-const DEFAULT_MEMORY: usize = 512_000_000;
+/// Memory of a host whose settings name none, in bytes: that of the smallest known ones.
+const DEFAULT_MEMORY: usize = 128 << 20;
 
 /// Least memory that the limits assume, in bytes: some messages of the largest size.
 const MIN_MEMORY: usize = 32_000_000;
@@ -86,10 +86,12 @@
     /// The limits of a host with `memory` bytes and `max_fds` descriptors, as far as they are known.
     #[must_use]
     pub fn new(memory: Option<usize>, max_fds: Option<usize>) -> Self {
+        // Without a setting the number of sessions depends on descriptors only.
+        let by_memory = memory
+            .map_or(usize::MAX, |memory| memory.max(MIN_MEMORY) / SESSIONS_PART / SESSION_BYTES);
         let memory = memory.unwrap_or(DEFAULT_MEMORY).max(MIN_MEMORY);
         let descriptors = max_fds.unwrap_or(DEFAULT_MAX_FDS).saturating_sub(RESERVED_FDS);
         let by_descriptors = descriptors / OTHER_CONNECTIONS_PART;
-        let by_memory = memory / SESSIONS_PART / SESSION_BYTES;
         Self {
             max_sessions: by_descriptors.min(by_memory).max(MIN_SESSIONS),
             message_bytes: memory / MESSAGES_PART,
--- a/crates/persimmon-proxy/src/forwarding/frame.rs
+++ b/crates/persimmon-proxy/src/forwarding/frame.rs
@@ -145,6 +145,7 @@
             self.timeout = Some(Box::pin(tokio::time::sleep(FRAME_TIMEOUT)));
         }
         if self.timeout.as_mut().is_some_and(|timeout| timeout.as_mut().poll(cx).is_ready()) {
+            tracing::info!(length, "a daemon took too long to send a message");
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         Poll::Ready(Ok(()))
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -60,11 +60,13 @@
         Self { limits, metrics, next_id: Cell::new(0), entries: RefCell::default() }
     }
 
-    /// Makes room for one more session; returns whether there is any.
+    /// Whether there is no room for one more session.
+    pub(crate) fn is_full(&self) -> bool {
+        self.entries.borrow().len() >= self.limits.max_sessions
+    }
+
+    /// Closes a session so that there is room for one more; returns whether one could be closed.
     pub(crate) fn make_room(&self, log: &LogBudget) -> bool {
-        if self.entries.borrow().len() < self.limits.max_sessions {
-            return true;
-        }
         let now = Clock.now();
         let views = self.views();
         let Some(victim) = session_to_close(views.into_iter(), now) else {
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -224,9 +224,14 @@
                     continue;
                 }
             };
-            if !accepting.open_sessions.make_room(&accepting.log) {
-                session::refuse(&accepting, &stream);
-                continue;
+            if accepting.open_sessions.is_full() {
+                let has_room = accepting.open_sessions.make_room(&accepting.log);
+                // A closed session gives its descriptor back on its next turn.
+                tokio::task::yield_now().await;
+                if !has_room {
+                    session::refuse(&accepting, &stream);
+                    continue;
+                }
             }
             match socket::configure(stream, false) {
                 Ok(io) => {
--- a/crates/persimmon-proxy/tests/client_limits.rs
+++ b/crates/persimmon-proxy/tests/client_limits.rs
@@ -81,6 +81,12 @@
     }
 }
 
+/// Guards against fewer sessions than before on hosts whose settings name no memory.
+#[test]
+fn hosts_without_settings_have_room_for_all_sessions() {
+    assert!(ClientLimits::new(None, None).max_sessions >= ALL_SESSIONS);
+}
+
 #[test]
 fn clients_that_stopped_half_way_are_closed_before_idle_ones() {
     let age = Duration::from_secs(60);
