Decide which workspaces have connections to an instance

A connection carries one workspace for its life, and an instance accepts fewer connections than there are workspaces. The decision keeps those that save the most handshakes, by Erlang's loss formula, and serves a workspace without a connection before one that wants another. Not yet used.

--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -14,6 +14,9 @@
 mod latency;
 mod retry;
 mod selection;
+mod workspace_connections;
+mod workspace_demand;
+mod workspace_limits;
 
 pub use admission::{Admission, AdmissionController};
 pub use concurrency::{ConcurrencyLimit, Observation, Outcome};
@@ -23,3 +26,5 @@
 pub use latency::LatencyBaseline;
 pub use retry::{AttemptFailure, AttemptKind, RetryDecision, after_failure, final_error_code};
 pub use selection::{Candidate, InstanceLoad, choose_instance};
+pub use workspace_connections::{OpeningDecision, WorkspaceConnections, WorkspaceName};
+pub use workspace_limits::WorkspaceLimits;
