Pool: idle connections of workspaces are kept by their worth

The placeholder closed the oldest idle connection and did not count idle ones against the limits. Reads of a workspace prefer an instance where its connection is soon free. Deployments without workspaces keep their paths.

--- a/crates/persimmon-balancing/src/selection.rs
+++ b/crates/persimmon-balancing/src/selection.rs
@@ -36,6 +36,10 @@
 /// slot for about as long as a statement, and the statement waits for it.
 const HANDSHAKE_COST: f64 = 1.5;
 
+/// The same for a connection that only one workspace can use: it also closes one of another
+/// workspace, which has to open it again. The reads of a small workspace then stay at one instance.
+const WORKSPACE_HANDSHAKE_COST: f64 = 4.0;
+
 /// What one daemon has observed at one instance.
 #[derive(Clone, Debug)]
 pub struct InstanceLoad {
@@ -158,8 +162,10 @@
     pub is_local: bool,
     /// Whether an earlier attempt of this statement went to it.
     pub was_tried: bool,
-    /// Whether an open connection is available.
+    /// Whether an open connection is available, or will be sooner than a new one.
     pub is_connected: bool,
+    /// Whether a new connection could be used by one workspace only.
+    pub is_for_workspace: bool,
 }
 
 /// Chooses the instance with the lowest expected cost for a statement that must read at
@@ -194,7 +200,8 @@
             cost *= 1.1;
         }
         if !candidate.is_connected {
-            cost += HANDSHAKE_COST;
+            cost +=
+                if candidate.is_for_workspace { WORKSPACE_HANDSHAKE_COST } else { HANDSHAKE_COST };
         }
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, candidate.index));
--- a/crates/persimmon-balancing/src/workspace_connections.rs
+++ b/crates/persimmon-balancing/src/workspace_connections.rs
@@ -215,6 +215,12 @@
         })
     }
 
+    /// Whether a workspace has no connection that serves its next statements.
+    #[must_use]
+    pub fn has_none(&self, workspace: &WorkspaceName) -> bool {
+        self.usages.get(workspace).is_none_or(|usage| usage.usable() == 0)
+    }
+
     /// Whether any connection is in use without a transaction or being opened, so that a statement
     /// of the proxy's own, which may use each of them, soon finds one.
     #[must_use]
@@ -265,6 +271,10 @@
             Some((value, victim)) if value < gain && own.usable() < limits.slots => {
                 OpeningDecision::Replace(victim.clone())
             }
+            // Idle connections of other workspaces are worth more; this one is closed after the peak.
+            _ if own.usable() < limits.slots && total < limits.reserve_begin() => {
+                OpeningDecision::Open
+            }
             _ => OpeningDecision::Wait,
         }
     }
--- a/crates/persimmon-balancing/tests/selection.rs
+++ b/crates/persimmon-balancing/tests/selection.rs
@@ -32,6 +32,7 @@
             is_local: true,
             was_tried: false,
             is_connected: true,
+            is_for_workspace: false,
         })
         .collect();
     choose_instance(now, MIN_POSITION, &candidates, start)
--- a/crates/persimmon-balancing/tests/workspace_connections.rs
+++ b/crates/persimmon-balancing/tests/workspace_connections.rs
@@ -3,7 +3,12 @@
 use workspace_load::{Policy, Scenario, play};
 #[test]
 fn explore() {
-    for policy in [Policy::Placeholder, Policy::LeastRecentlyUsed, Policy::LeastFrequentlyUsed, Policy::MarginalValue] {
+    for policy in [
+        Policy::Placeholder,
+        Policy::LeastRecentlyUsed,
+        Policy::LeastFrequentlyUsed,
+        Policy::MarginalValue,
+    ] {
         let calm = Scenario::calm();
         println!("{}", play(policy, &calm).line(&format!("{policy:?} calm")));
         let s = Scenario { has_sessions: true, ..calm.clone() };
--- a/crates/persimmon-balancing/tests/workspace_load/mod.rs
+++ b/crates/persimmon-balancing/tests/workspace_load/mod.rs
@@ -16,8 +16,8 @@
 use rand::{Rng, SeedableRng};
 
 use instance::{Instance, Job};
-use pool::{HandshakeQueue, Pool, Poll};
 pub use pool::Policy;
+use pool::{HandshakeQueue, Poll, Pool};
 pub use report::Report;
 
 pub const WORKSPACES: usize = 81;
@@ -28,6 +28,8 @@
 const OPERATIONS_PER_S: f64 = 39.0;
 /// Sessions of one owner's clients.
 const SESSIONS: usize = 166;
+/// How long a session lasts on average.
+const SESSION_S: f64 = 60.0;
 const STATEMENTS_OF_TRANSACTION: u32 = 3;
 const SWEEP_US: u64 = 100_000;
 const RECHECK_US: u64 = 40_000;
@@ -45,7 +47,13 @@
 const CLASSES: [Class; 3] = [
     Class { share: 0.135, work_us: 4_500, primary: 1.0, transactions: 0.4, objective_us: 150_000 },
     Class { share: 0.234, work_us: 22_000, primary: 0.0, transactions: 0.1, objective_us: 800_000 },
-    Class { share: 0.631, work_us: 14_000, primary: 0.2, transactions: 0.12, objective_us: 250_000 },
+    Class {
+        share: 0.631,
+        work_us: 14_000,
+        primary: 0.2,
+        transactions: 0.12,
+        objective_us: 250_000,
+    },
 ];
 
 /// What the clients do.
@@ -130,9 +138,8 @@
     let names = (0..WORKSPACES).map(|n| Some(Arc::from(format!("w{n:02}")))).collect();
     // Daemons that have run for long are past the limits of a start.
     let started = if scenario.starts_together { at(0) } else { Time::ZERO };
-    let pools = (0..OWNERS)
-        .map(|_| (0..INSTANCES).map(|_| Pool::new(policy, started)).collect())
-        .collect();
+    let pools =
+        (0..OWNERS).map(|_| (0..INSTANCES).map(|_| Pool::new(policy, started)).collect()).collect();
     let mut simulation = Simulation {
         policy,
         scenario: scenario.clone(),
@@ -190,8 +197,12 @@
                     shares[draw(&mut self.rng, &usual)] += 1.0 / SESSIONS as f64;
                 }
             }
-            let mut time = 0.0;
+            let (mut time, mut replaced) = (0.0, 0.0);
             while time < self.scenario.seconds {
+                while self.scenario.has_sessions && replaced < time {
+                    replaced += SESSION_S / SESSIONS as f64;
+                    self.replace_session(&mut shares, &usual);
+                }
                 if time >= self.scenario.warm_up_s {
                     shares[0] = usual[0] * self.scenario.burst;
                 }
@@ -214,6 +225,15 @@
         self.push(3_000_000, Event::Forget);
     }
 
+    /// Ends one session; a client of any workspace opens another.
+    fn replace_session(&mut self, shares: &mut [f64], usual: &[f64]) {
+        shares[draw(&mut self.rng, shares)] -= 1.0 / SESSIONS as f64;
+        shares[draw(&mut self.rng, usual)] += 1.0 / SESSIONS as f64;
+        for share in shares {
+            *share = share.max(0.0);
+        }
+    }
+
     fn plan_operation(&mut self, owner: usize, workspace: usize, arrived: u64) {
         let shares = CLASSES.map(|class| class.share);
         let class = draw(&mut self.rng, &shares);
@@ -279,6 +299,7 @@
                 is_local: index == operation.owner,
                 was_tried: false,
                 is_connected: pool.is_connected(name),
+                is_for_workspace: self.policy != Policy::Placeholder,
             })
             .collect();
         let start = self.rng.random_range(0..INSTANCES);
--- a/crates/persimmon-balancing/tests/workspace_load/pool.rs
+++ b/crates/persimmon-balancing/tests/workspace_load/pool.rs
@@ -14,6 +14,7 @@
 use super::instance::{CAP, SLOTS};
 
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
+const VANISHED_PERIOD: Duration = Duration::from_secs(3);
 const RECHECK: Duration = Duration::from_millis(40);
 const FREQUENCY_HALF_LIFE_S: f64 = 30.0;
 
@@ -130,7 +131,7 @@
         }
         self.connections.set_idle(self.idle.iter().map(|(name, _)| name));
         let mut limits = self.limits(now);
-        if self.idle_policy.max_idle(now) < CAP / 2 / OWNERS / 2 {
+        if now < self.refused_until + VANISHED_PERIOD {
             limits = limits.without_growth();
         }
         let decision = self.connections.decide(now, name, &limits);
--- a/crates/persimmon-proxy/src/connection.rs
+++ b/crates/persimmon-proxy/src/connection.rs
@@ -214,8 +214,8 @@
     }
 
     /// The workspace for which the connection was opened.
-    pub(crate) fn workspace(&self) -> Option<&Arc<str>> {
-        self.workspace.as_ref()
+    pub(crate) fn workspace(&self) -> &Option<Arc<str>> {
+        &self.workspace
     }
 
     /// Whether another session may use the connection: every message sent has been answered
--- a/crates/persimmon-proxy/src/execute.rs
+++ b/crates/persimmon-proxy/src/execute.rs
@@ -221,6 +221,7 @@
                 is_local: entry.instance.domain == self.settings.failure_domain,
                 was_tried: tried.contains(&entry.instance.id),
                 is_connected: *is_connected,
+                is_for_workspace: job.caller.is_some(),
             });
         }
         let start = rand::rng().random_range(0..candidates.len().max(1));
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -104,6 +104,12 @@
     connections_opened,
     /// Attempts to open connections to instances that failed.
     connections_failed,
+    /// Connections opened for a workspace that had none to the instance that served its statements.
+    workspace_connections_first,
+    /// Idle connections closed in favour of another workspace.
+    workspace_connections_replaced,
+    /// Statements of workspaces that waited for a connection.
+    workspace_connection_waits,
     /// Connections to instances that failed while an answer was outstanding.
     connections_lost,
     /// Calls to the store.
--- a/crates/persimmon-proxy/src/peer_list.rs
+++ b/crates/persimmon-proxy/src/peer_list.rs
@@ -112,6 +112,13 @@
         owners.map_or_else(|| self.daemon_count(), |owners| Some(owners.count()))
     }
 
+    /// Whether this daemon is one of the owners that a service needs.
+    #[must_use]
+    pub fn is_owner(&self, service: &Arc<str>, max_connections: u32) -> bool {
+        let owners = self.needed_owners(service, max_connections);
+        owners.is_some_and(|owners| owners.owners().any(|owner| owner == self.own.address))
+    }
+
     /// Addresses of all known peers.
     #[must_use]
     pub fn all(&self) -> Vec<SocketAddr> {
--- a/crates/persimmon-proxy/src/pool.rs
+++ b/crates/persimmon-proxy/src/pool.rs
@@ -2,7 +2,12 @@
 //!
 //! Connections are limited and expensive to open: an idle one that already has the session's
 //! variables is preferred, few are opened concurrently, and idle ones are closed when an instance
-//! refuses more.
+//! refuses more. In a deployment with workspaces, a connection carries one workspace for its life;
+//! [`WorkspaceConnections`] decides which workspaces have one.
+
+mod opening;
+mod sweep;
+mod workspaces;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -11,30 +16,21 @@
 use std::time::Duration;
 
 use persimmon_balancing::{
-    AdmissionController, ConnectionCounts, ConnectionLimits, HandshakeLimiter,
-    IdleConnectionPolicy, InstanceLoad,
+    AdmissionController, ConnectionCounts, HandshakeLimiter, IdleConnectionPolicy, InstanceLoad,
+    WorkspaceConnections, WorkspaceLimits, WorkspaceName,
 };
-use persimmon_interfaces::{ErrorCode, Instance, InstanceProtocol};
+use persimmon_interfaces::{Instance, InstanceProtocol};
 use persimmon_types::{Clock, Time};
 use tokio::sync::{Notify, Semaphore};
 
-use crate::connection::{BackendConnection, ConnectionError, ConnectionUser, DesiredState};
+use crate::connection::{BackendConnection, ConnectionUser, DesiredState};
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
-
-/// How long a connection may take to open: the handshake queues for a slot at the instance behind
-/// waiting statements.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// How long no connection is opened after the instance refused one for its connection limit.
-const REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
+use crate::pool::workspaces::WaitGuard;
 
 /// How long `acquire` waits for a returned connection before it checks again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Idle connections are closed after this time; the instance itself closes them after a minute.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(25);
-
 /// Why no connection was available; nothing was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Unavailable {
@@ -63,6 +59,9 @@
     idle: Vec<BackendConnection>,
     counts: ConnectionCounts,
     idle_policy: IdleConnectionPolicy,
+    connections: WorkspaceConnections,
+    /// The limits by which an owner in a deployment with workspaces opened a connection last.
+    workspace_limits: Option<WorkspaceLimits>,
     load: InstanceLoad,
     admission: AdmissionController,
     refused_until: Time,
@@ -84,13 +83,19 @@
     entries: RefCell<HashMap<Arc<str>, InstanceEntry>>,
     handshake_permits: Semaphore,
     handshake_limiter: Cell<HandshakeLimiter>,
+    /// Whether the deployment has workspaces.
+    has_workspaces: Cell<bool>,
+    started_at: Time,
 }
 
 /// A checked-out connection; dropping it returns the connection to the pool.
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     backend: Option<BackendConnection>,
+    /// The workspace for which it was opened.
+    workspace: WorkspaceName,
     is_pinned: bool,
+    taken_at: Time,
     pool: Rc<Pool>,
     /// The instance at its other end.
     pub(crate) instance: Arc<Instance>,
@@ -112,6 +117,7 @@
             && !std::mem::replace(&mut self.is_pinned, true)
         {
             entry.counts.pinned += 1;
+            entry.connections.record_pinned(&self.workspace);
         }
     }
 }
@@ -119,7 +125,8 @@
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         if let Some(backend) = self.backend.take() {
-            self.pool.release(&self.instance.id, backend, self.is_pinned);
+            let held = Clock.now().since(self.taken_at);
+            self.pool.release(&self.instance.id, backend, self.is_pinned, held);
         }
     }
 }
@@ -133,7 +140,16 @@
     ) -> Self {
         let handshake_permits = Semaphore::new(HandshakeLimiter::max_concurrent() as usize);
         let (entries, handshake_limiter) = (RefCell::default(), Cell::default());
-        Self { protocol, metrics, peers, entries, handshake_permits, handshake_limiter }
+        Self {
+            protocol,
+            metrics,
+            peers,
+            entries,
+            handshake_permits,
+            handshake_limiter,
+            has_workspaces: Cell::new(false),
+            started_at: Clock.now(),
+        }
     }
 
     /// Whether an instance allows fewer connections than there are daemons, or recently refused
@@ -156,7 +172,8 @@
         f(&mut self.entries.borrow_mut().entry(Arc::clone(id)).or_default().admission)
     }
 
-    /// An instance's load, and whether there is an idle connection to it for `user`.
+    /// An instance's load, and whether there is an idle connection to it for `user`, or one that
+    /// becomes idle sooner than a new one opens.
     pub(crate) fn load_and_idle(
         &self,
         id: &Arc<str>,
@@ -166,8 +183,10 @@
         entries.get(id).map_or_else(
             || (InstanceLoad::new(), false),
             |entry| {
-                let is_usable = |b: &BackendConnection| user.accepts(b.workspace());
-                (entry.load.clone(), entry.idle.iter().any(is_usable))
+                let is_usable = |b: &BackendConnection| user.accepts(b.workspace().as_ref());
+                let is_idle = entry.idle.iter().any(is_usable);
+                let is_connected = is_idle || self.is_soon_free(entry, user);
+                (entry.load.clone(), is_connected)
             },
         )
     }
@@ -181,17 +200,23 @@
             .is_some_and(|entry| entry.idle.iter().any(BackendConnection::is_idle))
     }
 
-    fn release(&self, id: &Arc<str>, backend: BackendConnection, was_pinned: bool) {
+    fn release(&self, id: &Arc<str>, backend: BackendConnection, was_pinned: bool, held: Duration) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(id) else {
             return;
         };
         entry.counts.checked_out = entry.counts.checked_out.saturating_sub(1);
         entry.counts.pinned = entry.counts.pinned.saturating_sub(usize::from(was_pinned));
+        entry.connections.record_returned(backend.workspace(), was_pinned, held);
         if backend.is_idle() && !backend.has_large_state() {
             entry.idle.push(backend);
         }
-        entry.released.notify_one();
+        if self.has_workspaces.get() {
+            // The first waiter may belong to another workspace, which cannot use the connection.
+            entry.released.notify_waiters();
+        } else {
+            entry.released.notify_one();
+        }
     }
 
     /// Takes an idle connection of the desired user, preferring one that already has the desired
@@ -208,40 +233,23 @@
             *entry = InstanceEntry {
                 born_ms: instance.born_ms,
                 counts: entry.counts,
+                connections: std::mem::take(&mut entry.connections),
                 ..InstanceEntry::default()
             };
         }
         entry.idle.retain(BackendConnection::is_idle);
-        let is_usable = |backend: &BackendConnection| desired.user.accepts(backend.workspace());
+        let is_usable =
+            |backend: &BackendConnection| desired.user.accepts(backend.workspace().as_ref());
         let matching = desired.variables.and_then(|variables| {
             let matches = |b: &BackendConnection| is_usable(b) && b.has_variables(variables);
             entry.idle.iter().position(matches)
         });
         // The most recently used connections are at the end.
         let index = matching.or_else(|| entry.idle.iter().rposition(is_usable))?;
+        let backend = entry.idle.remove(index);
         entry.counts.checked_out += 1;
-        Some(entry.idle.remove(index))
-    }
-
-    /// Counts a connection as being opened, if the limits allow one; returns whether they do.
-    fn try_reserve_open(&self, instance: &Instance, now: Time, max_connections: u32) -> bool {
-        let mut entries = self.entries.borrow_mut();
-        let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        let sharers = self.peers.sharer_count(&instance.service, max_connections);
-        let max_connections = max_connections as usize;
-        entry.idle_policy.set_share(max_connections, sharers);
-        let limits = ConnectionLimits {
-            max_connections,
-            slots: instance.slots as usize,
-            // An unknown number may be large, so that the share is the lowest.
-            sharers: sharers.unwrap_or(usize::MAX),
-        };
-        let may_open = entry.counts.may_open(limits, entry.admission.is_throttling())
-            && now >= entry.refused_until;
-        if may_open {
-            entry.counts.opening += 1;
-        }
-        may_open
+        entry.connections.record_taken(backend.workspace());
+        Some(backend)
     }
 
     /// Checks out a connection to an instance; `max_connections` is its limit over all daemons.
@@ -256,28 +264,40 @@
         deadline: Time,
     ) -> Result<PooledConnection, Unavailable> {
         let mut failures_before = None;
+        let mut waiting: Option<WaitGuard> = None;
         loop {
             if let Some(backend) = self.take_idle(instance, desired) {
-                let pool = Rc::clone(self);
-                let instance = Arc::clone(instance);
+                if let Some(waiting) = waiting {
+                    waiting.end_served();
+                } else {
+                    self.record_arrival(&instance.id, desired.user);
+                }
                 return Ok(PooledConnection {
+                    workspace: backend.workspace().clone(),
                     backend: Some(backend),
                     is_pinned: false,
-                    pool,
-                    instance,
+                    taken_at: Clock.now(),
+                    pool: Rc::clone(self),
+                    instance: Arc::clone(instance),
                 });
             }
             let now = Clock.now();
             if now >= deadline {
                 return Err(Unavailable::Waited);
             }
-            if self.try_reserve_open(instance, now, max_connections) {
+            let waiting = waiting.get_or_insert_with(|| {
+                self.record_arrival(&instance.id, desired.user);
+                WaitGuard::new(self, &instance.id, desired.user, now)
+            });
+            let waited = waiting.waited(now);
+            let reserved =
+                self.try_reserve_open(instance, now, max_connections, desired.user, waited);
+            if let Some(reservation) = reserved {
                 let (pool, instance) = (Rc::clone(self), Arc::clone(instance));
                 let workspace = desired.user.workspace();
-                self.make_room(&instance.id, now, desired.user);
-                ntex::rt::spawn(async move { pool.open(&instance, workspace).await });
+                ntex::rt::spawn(async move { pool.open(&instance, workspace, reservation).await });
             }
-            let released = {
+            let (released, recheck_after) = {
                 let mut entries = self.entries.borrow_mut();
                 let entry = entries.entry(Arc::clone(&instance.id)).or_default();
                 let before = *failures_before.get_or_insert(entry.failures);
@@ -287,187 +307,11 @@
                 if now < entry.refused_until && entry.counts.is_empty() {
                     return Err(Unavailable::Full);
                 }
-                Rc::clone(&entry.released)
+                (Rc::clone(&entry.released), self.recheck_interval(entry, now))
             };
-            let wait = RECHECK_INTERVAL.min(deadline.since(now));
+            let wait = recheck_after.min(deadline.since(now));
             // A timeout only makes the loop check again.
             let _ = tokio::time::timeout(wait, released.notified()).await;
         }
     }
-
-    /// Closes the idle connection of another workspace that was not used for the longest time, if as
-    /// many are idle as this daemon keeps.
-    fn make_room(&self, id: &Arc<str>, now: Time, user: ConnectionUser<'_>) {
-        let mut entries = self.entries.borrow_mut();
-        let Some(entry) = entries.get_mut(id) else {
-            return;
-        };
-        if entry.idle.len() < entry.idle_policy.max_idle(now).max(1) {
-            return;
-        }
-        let oldest = entry.idle.iter().position(|backend| !user.accepts(backend.workspace()));
-        if let Some(index) = oldest {
-            entry.idle.remove(index);
-        }
-    }
-
-    /// Opens a connection for a workspace and adds it to the idle ones.
-    async fn open(&self, instance: &Arc<Instance>, workspace: Option<Arc<str>>) {
-        let opening = OpeningGuard { pool: self, id: &instance.id };
-        let connecting =
-            BackendConnection::connect(&self.protocol, instance, workspace, OPEN_TIMEOUT);
-        let connected = connecting.await;
-        let opened = match connected {
-            Ok(backend) => self.handshake(instance, backend).await,
-            Err(err) => Err(err),
-        };
-        self.record_opened(instance, opened);
-        drop(opening);
-    }
-
-    /// Performs the handshake once the limit on concurrent handshakes allows it. The limit does not
-    /// cover connecting, so unreachable hosts do not delay handshakes with other instances.
-    async fn handshake(
-        &self,
-        instance: &Instance,
-        mut backend: BackendConnection,
-    ) -> Result<BackendConnection, ConnectionError> {
-        // A lower concurrency means that each handshake takes a larger share of the permits.
-        let permits =
-            HandshakeLimiter::max_concurrent() / self.handshake_limiter.get().concurrency();
-        let Ok(_permit) = self.handshake_permits.acquire_many(permits).await else {
-            unreachable!("the semaphore is never closed");
-        };
-        let began = Clock.now();
-        let completed = backend.handshake(instance, OPEN_TIMEOUT).await;
-        if matches!(completed, Ok(()) | Err(ConnectionError::TimedOut)) {
-            self.record_handshake(instance, Clock.now().since(began));
-        }
-        completed.map(|()| backend)
-    }
-
-    /// Records the duration of a handshake, which waits for a slot like a statement.
-    fn record_handshake(&self, instance: &Instance, took: Duration) {
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        let mut limiter = self.handshake_limiter.get();
-        let mut entries = self.entries.borrow_mut();
-        let admission = &mut entries.entry(Arc::clone(&instance.id)).or_default().admission;
-        let wait_ms = limiter.record_handshake(took_ms, !admission.is_throttling());
-        admission.record_wait(Clock.now(), wait_ms);
-        self.handshake_limiter.set(limiter);
-    }
-
-    fn record_opened(
-        &self,
-        instance: &Instance,
-        opened: Result<BackendConnection, ConnectionError>,
-    ) {
-        let now = Clock.now();
-        let mut entries = self.entries.borrow_mut();
-        let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        Metrics::increment(&self.metrics.connections_opened);
-        let err = match opened {
-            Ok(backend) => {
-                entry.idle.push(backend);
-                if std::mem::take(&mut entry.is_failing) {
-                    tracing::info!(instance = %instance.id, "instance accepts connections again");
-                }
-                return;
-            }
-            Err(err) => err,
-        };
-        Metrics::increment(&self.metrics.connections_failed);
-        if !std::mem::replace(&mut entry.is_failing, true) {
-            tracing::info!(instance = %instance.id, address = %instance.address, error = %err,
-                lent = entry.counts.checked_out, idle = entry.idle.len(),
-                "connecting to an instance failed");
-        }
-        let unavailable = unavailable(&err);
-        if unavailable == Unavailable::Full {
-            entry.idle_policy.record_refusal(now);
-            entry.refused_until = now + REFUSAL_BACKOFF;
-        } else {
-            entry.load.record_unreachable(now);
-        }
-        entry.failures += 1;
-        entry.last_failure = Some(unavailable);
-    }
-
-    /// Whether there is no connection to the instance and this daemon's share allows one to be
-    /// opened in advance.
-    fn needs_prewarming(&self, instance: &Instance, max_connections: u32, now: Time) -> bool {
-        let mut entries = self.entries.borrow_mut();
-        let entry = entries.entry(Arc::clone(&instance.id)).or_default();
-        let sharers = self.peers.sharer_count(&instance.service, max_connections);
-        entry.idle_policy.set_share(max_connections as usize, sharers);
-        let has_none = entry.idle.is_empty() && entry.counts.is_empty();
-        has_none && entry.idle_policy.max_idle(now) > 0 && !entry.load.is_avoided(now)
-    }
-
-    /// Opens a connection to an instance in advance, if there is none and the daemon's share allows
-    /// it.
-    pub(crate) async fn prewarm(self: &Rc<Self>, instance: &Arc<Instance>, max_connections: u32) {
-        let now = Clock.now();
-        if !self.needs_prewarming(instance, max_connections, now) {
-            return;
-        }
-        // If this fails, a connection is opened on first use.
-        let desired = DesiredState::default();
-        let _ = self.acquire(instance, &desired, max_connections, now + OPEN_TIMEOUT).await;
-    }
-
-    /// Closes connections that exceed the idle limits or whose instance is no longer listed.
-    pub(crate) fn close_idle(&self, now: Time, is_listed: impl Fn(&str) -> bool) {
-        let mut entries = self.entries.borrow_mut();
-        entries.retain(|id, entry| !entry.counts.is_empty() || is_listed(id));
-        for (id, entry) in entries.iter_mut() {
-            if !is_listed(id) {
-                entry.idle.clear();
-                continue;
-            }
-            let limit = entry.idle_policy.max_idle(now);
-            let idle_timeout = entry.idle_policy.idle_timeout(now);
-            // The most recently used connections are at the end.
-            let surplus = entry.idle.len().saturating_sub(limit);
-            let mut index = 0;
-            entry.idle.retain(|backend| {
-                let idle_for = now.since(backend.used_at);
-                let is_surplus = index < surplus && idle_for > idle_timeout;
-                index += 1;
-                let is_last = surplus == 0 && limit > 0 && index == 1;
-                backend.is_idle() && !is_surplus && (is_last || idle_for < MAX_IDLE_TIME)
-            });
-        }
-    }
-}
-
-fn unavailable(err: &ConnectionError) -> Unavailable {
-    match err {
-        ConnectionError::Refused(ErrorCode::TooManyConnections, _) => Unavailable::Full,
-        ConnectionError::Refused(ErrorCode::WrongInstance, _) => Unavailable::Replaced,
-        // The host accepted the connection; the handshake is waiting for a slot.
-        ConnectionError::TimedOut => Unavailable::Waited,
-        ConnectionError::Broken(err) if err.kind() == std::io::ErrorKind::TimedOut => {
-            Unavailable::Silent
-        }
-        // An instance that answers is alive, even if it refuses the session now.
-        ConnectionError::Refused(..) => Unavailable::Waited,
-        ConnectionError::Broken(_) | ConnectionError::Protocol(_) => Unavailable::Refused,
-    }
-}
-
-/// Counts a connection as being opened until dropped.
-struct OpeningGuard<'a> {
-    pool: &'a Pool,
-    id: &'a Arc<str>,
-}
-
-impl Drop for OpeningGuard<'_> {
-    fn drop(&mut self) {
-        if let Some(entry) = self.pool.entries.borrow_mut().get_mut(self.id) {
-            entry.counts.opening = entry.counts.opening.saturating_sub(1);
-            // Wakes all waiters: one takes the connection, another may open the next.
-            entry.released.notify_waiters();
-        }
-    }
 }
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -12,10 +12,12 @@
 use persimmon_balancing::LatencyBaseline;
 use persimmon_interfaces::{ClientProtocol, InstanceProtocol};
 use persimmon_types::Clock;
+use persimmon_workspace::WorkspaceDirectory;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::connection::ConnectionUser;
 use crate::drain::ShutdownSchedule;
 use crate::forwarding::{HeldCount, Links};
 use crate::logging::LogBudget;
@@ -239,7 +241,8 @@
             let snapshot = sweeping.snapshot();
             let is_listed =
                 |id: &str| snapshot.services.values().flatten().any(|e| &*e.instance.id == id);
-            sweeping.pool.close_idle(Clock.now(), is_listed);
+            let workspaces = snapshot.table.as_ref().and_then(|t| t.workspaces.as_deref());
+            sweeping.pool.close_idle(Clock.now(), is_listed, workspaces);
             sweeping.reachability.retain(is_listed);
         }
     });
@@ -248,20 +251,24 @@
 
 /// Keeps a connection open to each instance as far as the daemon's share allows, so that neither
 /// the first clients nor those of a new primary wait for a handshake.
+///
+/// In a deployment with workspaces, the first connection is the one of the workspace with the
+/// largest quota, which uses it most; samples of positions may use it too. The others are opened as
+/// statements need them.
 async fn keep_prewarmed(worker: Rc<Worker>) {
     loop {
         let snapshot = worker.snapshot();
+        let workspaces = snapshot.table.as_ref().and_then(|t| t.workspaces.as_deref());
+        let largest = workspaces.and_then(WorkspaceDirectory::largest);
+        let user = largest.map_or(ConnectionUser::Any, |w| ConnectionUser::Workspace(&w.name));
         // A connection that belongs to no workspace runs no statement of one.
-        let has_workspaces = snapshot.table.as_ref().is_some_and(|t| t.workspaces.is_some());
+        let has_user = workspaces.is_none() || largest.is_some();
         for listed in snapshot.services.values().flatten() {
-            if has_workspaces
-                || !listed.accepts_work()
-                || !worker.is_sharer(&listed.instance.service)
-            {
+            if !has_user || !listed.accepts_work() || !worker.is_sharer(&listed.instance.service) {
                 continue;
             }
             let max_connections = worker.max_connections(&listed.instance.service);
-            worker.pool.prewarm(&listed.instance, max_connections).await;
+            worker.pool.prewarm(&listed.instance, max_connections, user).await;
         }
         // Jitter, so that daemons that start together do not open connections to an instance
         // together.
--- a/crates/persimmon-workspace/src/directory.rs
+++ b/crates/persimmon-workspace/src/directory.rs
@@ -127,6 +127,16 @@
         self.by_name.get(name)
     }
 
+    /// The workspace with the largest quota; `None` if none has a quota.
+    #[must_use]
+    pub fn largest(&self) -> Option<&Arc<Workspace>> {
+        let with_rates = self.by_name.values().filter_map(|w| Some((w.quota?.rate_per_s, w)));
+        // Equal quotas are told apart by the name, so that every daemon finds the same.
+        let largest =
+            with_rates.max_by(|(a, x), (b, y)| a.total_cmp(b).then_with(|| y.name.cmp(&x.name)));
+        largest.map(|(_, workspace)| workspace)
+    }
+
     /// The number of workspaces.
     #[must_use]
     pub fn len(&self) -> usize {
