--- a/crates/persimmon-balancing/src/workspace_demand.rs
+++ b/crates/persimmon-balancing/src/workspace_demand.rs
@@ -4,9 +4,9 @@
 
 use persimmon_types::Time;
 
-/// Half-life of observed arrivals: long against the gaps between the statements of a small
-/// workspace, short against a shift of load between workspaces.
-const ARRIVAL_HALF_LIFE: Duration = Duration::from_secs(30);
+/// Half-life of observed arrivals: long against the gaps between the statements of one session, short
+/// against the life of sessions, which move the load of a small workspace between daemons.
+const ARRIVAL_HALF_LIFE: Duration = Duration::from_secs(15);
 
 /// Weight of a new observation in the average time for which a statement holds a connection.
 const HOLD_WEIGHT: f64 = 0.2;
