--- a/crates/persimmon-balancing/src/selection.rs
+++ b/crates/persimmon-balancing/src/selection.rs
@@ -38,7 +38,7 @@
 
 /// The same for a connection that only one workspace can use: it also closes one of another
 /// workspace, which has to open it again. The reads of a small workspace then stay at one instance.
-const WORKSPACE_HANDSHAKE_COST: f64 = 4.0;
+const WORKSPACE_HANDSHAKE_COST: f64 = 6.0;
 
 /// What one daemon has observed at one instance.
 #[derive(Clone, Debug)]
--- a/crates/persimmon-balancing/tests/workspace_load/report.rs
+++ b/crates/persimmon-balancing/tests/workspace_load/report.rs
@@ -12,7 +12,7 @@
     pub refused: u64,
     /// Highest number of connections that an instance counted.
     pub most_open: usize,
-    /// Arrivals, and operations that got no connection within their objective, by workspace.
+    /// Arrivals, and operations that got no connection within their deadline, by workspace.
     pub arrivals_of: Vec<u64>,
     pub unserved_of: Vec<u64>,
     /// Operations that admission control refused, by workspace.
