--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -22,6 +22,8 @@
     open_connections: AtomicUsize,
     total_connections: AtomicUsize,
     loses_responses: AtomicBool,
+    /// Whether the name for which a connection was opened is compared with that of each request.
+    checks_users: AtomicBool,
     /// The words of statements that are refused, each with the code of the error.
     refusals: Mutex<HashMap<&'static str, &'static str>>,
     streams: Mutex<Vec<TcpStream>>,
@@ -83,6 +85,12 @@
         self.state.loses_responses.store(on, Ordering::Relaxed);
     }
 
+    /// Records a violation for each request whose session has another name than the one for which
+    /// its connection was opened: for tests whose workspaces have their keys as names.
+    pub fn check_users(&self) {
+        self.state.checks_users.store(true, Ordering::Relaxed);
+    }
+
     /// Refuses statements that begin with `word`, with an error of `code`; `None` ends that.
     pub fn set_refusal(&self, word: &'static str, code: Option<&'static str>) {
         let mut refusals = self.state.refusals.lock().unwrap_or_else(PoisonError::into_inner);
@@ -153,7 +161,7 @@
         if count >= self.group.profile.max_connections {
             return write!(out, "ERROR TOOMANY {id}\r\n");
         }
-        let mut session = Session::new(self, id);
+        let mut session = Session::new(self, id, words[2]);
         write!(out, "{}", session.ready())?;
         for line in lines {
             let response = session.handle_line(line?.trim_end_matches('\r'));
@@ -193,6 +201,8 @@
 struct Session<'a> {
     server: &'a InstanceServer,
     id: String,
+    /// The name for which the connection was opened.
+    user: String,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, (bool, String)>,
     tx: Option<Tx>,
@@ -203,10 +213,11 @@
 type StatementResult = Result<(Vec<String>, Option<String>), (&'static str, String)>;
 
 impl<'a> Session<'a> {
-    fn new(server: &'a InstanceServer, id: &str) -> Self {
+    fn new(server: &'a InstanceServer, id: &str, user: &str) -> Self {
         Self {
             server,
             id: id.to_owned(),
+            user: user.to_owned(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             tx: None,
@@ -356,6 +367,10 @@
     /// session. A request's id holds its session's name before a colon.
     fn check_session_isolation(&mut self, id: &str) {
         let session_name = id.split(':').next().unwrap_or_default().to_owned();
+        if self.server.state.checks_users.load(Ordering::Relaxed) && self.user != session_name {
+            let violation = format!("request {id} ran on a connection of {}", self.user);
+            self.server.group.record_violation(violation);
+        }
         let expected = self.values.get("who").cloned();
         if expected.as_ref().is_some_and(|who| *who != session_name) {
             let violation = format!("request {id} ran with the values of {expected:?}");
--- a/crates/persimmon-proxy/src/pool/opening.rs
+++ b/crates/persimmon-proxy/src/pool/opening.rs
@@ -40,6 +40,9 @@
     ) -> Option<Reservation> {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(Arc::clone(&instance.id)).or_default();
+        if self.has_workspaces.get() && !entry.connections.time_to_opening(now).is_zero() {
+            return None;
+        }
         let sharers = self.peers.sharer_count(&instance.service, max_connections);
         let is_owner =
             self.has_workspaces.get() && self.peers.is_owner(&instance.service, max_connections);
--- a/crates/persimmond/tests/workspace_connections.rs
+++ b/crates/persimmond/tests/workspace_connections.rs
@@ -1,6 +1,6 @@
 //! Tests more workspaces than an instance accepts connections, with daemons as separate processes.
-//! Guards against workspaces that are not served because others hold the connections, and against
-//! connections over the instance's limit.
+//! Guards against workspaces that are not served because others hold the connections, against
+//! connections over the instance's limit, and against requests on the connection of another workspace.
 
 mod fleet;
 
@@ -36,6 +36,9 @@
         InstanceProfile { max_connections: FEW_CONNECTIONS, ..InstanceProfile::default() };
     let cluster = LineCluster::start(1, 3, profile).expect("the fake platform starts");
     cluster.set_workspaces(workspaces(WORKSPACES));
+    for instance in &cluster.groups[0].1 {
+        instance.server.check_users();
+    }
     let setup = setup_on(name, DAEMONS, cluster.with_max_connections(FEW_CONNECTIONS));
     let know_each_other = || {
         (0..DAEMONS).all(|daemon| {
