--- a/crates/persimmond/tests/fleet/keys.rs
+++ b/crates/persimmond/tests/fleet/keys.rs
@@ -101,7 +101,7 @@
             .replace("[listen]", &format!("[listen]\npeer_ip = \"{}\"", bound_at.ip()));
         daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
     }
-    let setup = Setup { cluster, daemons, _folder: folder };
+    let setup = Setup { cluster, daemons, folder };
     assert!(
         holds_within(CONDITION_TIMEOUT, || setup.daemons.iter().all(Daemon::is_ready)),
         "a daemon is not ready"
