--- a/crates/persimmon-workspace/tests/largest.rs
+++ b/crates/persimmon-workspace/tests/largest.rs
@@ -14,7 +14,7 @@
 }
 
 fn largest(workspaces: Vec<Workspace>) -> Option<Arc<str>> {
-    let (directory, _) = WorkspaceDirectory::new(workspaces);
+    let directory = WorkspaceDirectory::new(workspaces);
     directory.largest().map(|workspace| Arc::clone(&workspace.name))
 }
 
