--- a/crates/persimmon-soak/src/keys.rs
+++ b/crates/persimmon-soak/src/keys.rs
@@ -26,8 +26,8 @@
 /// Workspaces among which the keys of the other clients are divided.
 const WORKSPACES: u64 = 2;
 
-/// Requests of one session with a key.
-const SESSION_REQUESTS: usize = 12;
+/// Requests of a short session with a key.
+const SHORT_SESSION: usize = 12;
 
 /// Pause between two requests of a session with a key.
 const THINK_TIME: Duration = Duration::from_millis(40);
@@ -159,6 +159,9 @@
     group: Arc<Group>,
     client_addresses: Arc<Mutex<Vec<SocketAddr>>>,
     rng: SmallRng,
+    /// Requests of a session: every other client keeps its sessions until they end, so that some are
+    /// older than a removal whose limit has passed.
+    session_requests: usize,
 }
 
 impl KeyClient {
@@ -170,7 +173,8 @@
         client_addresses: Arc<Mutex<Vec<SocketAddr>>>,
     ) -> Self {
         let rng = SmallRng::seed_from_u64(seed ^ CLIENT_STREAM ^ index);
-        Self { ledger, group, client_addresses, rng }
+        let session_requests = if index.is_multiple_of(2) { usize::MAX } else { SHORT_SESSION };
+        Self { ledger, group, client_addresses, rng, session_requests }
     }
 
     /// Uses the keys until `stop` is set.
@@ -198,7 +202,7 @@
             Err(err) => return self.check(address, key, sent_at, is_unknown_key(&err.to_string())),
         };
         self.check(address, key, sent_at, Some(true));
-        for _ in 0..SESSION_REQUESTS {
+        for _ in 0..self.session_requests {
             if stop.load(Ordering::Relaxed) {
                 return;
             }
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -20,7 +20,7 @@
 const DIRECTORY_REFRESH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Clients that use the keys that come and go.
-const KEY_CLIENTS: u64 = 3;
+const KEY_CLIENTS: u64 = 8;
 
 /// How long these clients check in calm, beyond the limit of a change.
 const CALM: Duration = Duration::from_secs(1);
--- a/crates/persimmond/tests/workspaces.rs
+++ b/crates/persimmond/tests/workspaces.rs
@@ -13,7 +13,7 @@
 
 use crate::fleet::keys::{
     FIRST_VERSION, ProxiedFleet, cluster_with, is_active, is_active_everywhere, proxied_fleet,
-    put_workspaces, refusal,
+    put_workspaces, refusal, workspaces,
 };
 use crate::fleet::owners::{FEW_CONNECTIONS, other_than, setup_with_cluster};
 use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_on, setup_with_stores};
@@ -230,22 +230,29 @@
     setup.assert_no_violations();
 }
 
-#[test]
-fn added_key_is_served_on_every_daemon_and_at_once_where_only_peers_have_it() {
+/// Starts daemons whose first one is cut off from the store, and lets the others activate a version that
+/// adds a key and a database.
+fn setup_with_first_behind(name: &str) -> Setup {
     let cluster = cluster_with(WITHOUT_AKEY, MANY_CONNECTIONS);
     let proxies: Vec<FaultProxy> = (0..4)
         .map(|_| FaultProxy::start(cluster.store.address).expect("the proxy starts"))
         .collect();
     let stores = proxies.iter().map(|proxy| proxy.address).collect();
-    let setup = setup_with_stores("ws-added", cluster, stores);
+    let setup = setup_with_stores(name, cluster, stores);
     let have_members =
         |daemon| setup.has_logged(daemon, |line| line["message"] == "members were exchanged");
     assert!(holds_within(CONDITION_TIMEOUT, || (0..4).all(have_members)));
-
     proxies[0].partition(true);
-    put_workspaces(&setup, FIRST_VERSION + 1, TWO);
+    setup.cluster.set_workspaces(workspaces(TWO));
+    setup.cluster.put_table(FIRST_VERSION + 1, &["added"]);
     let others_have_it = || (1..4).all(|daemon| is_active(&setup, daemon, FIRST_VERSION + 1));
     assert!(holds_within(TABLE_LIMIT, others_have_it));
+    setup
+}
+
+#[test]
+fn added_key_is_served_on_every_daemon_and_at_once_where_only_peers_have_it() {
+    let setup = setup_with_first_behind("ws-added");
 
     // The first attempt has to succeed: it makes the daemon ask its peers.
     for daemon in 0..4 {
@@ -254,6 +261,14 @@
     setup.assert_no_violations();
 }
 
+#[test]
+fn added_database_is_served_at_once_where_only_peers_have_it() {
+    let setup = setup_with_first_behind("ws-database");
+
+    write(&mut setup.client(0, "added", "bkey"), "WRITE served x");
+    setup.assert_no_violations();
+}
+
 #[test]
 fn many_sessions_with_unknown_keys_cost_one_check_a_second_and_are_refused_in_time() {
     let setup = setup_on("ws-crowd", 1, cluster_with(TWO, MANY_CONNECTIONS));
