--- a/crates/persimmon-proxy/tests/active_table.rs
+++ b/crates/persimmon-proxy/tests/active_table.rs
@@ -1,10 +1,12 @@
 //! Which version of the table is active when the store or a peer offers another one.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use persimmon_interfaces::Table;
 use persimmon_proxy::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 use persimmon_types::Time;
+use persimmon_workspace::{ClientKey, Workspace, WorkspaceDirectory};
 
 fn at(ms: u64) -> Time {
     Time::from_millis(1_000_000 + ms)
@@ -110,3 +112,26 @@
 
     assert_eq!((active.version(), active.lost_since()), (16, None));
 }
+
+/// A version in which the workspace holds these keys.
+fn table_with_keys(version: u64, keys: &[&str]) -> Table {
+    let workspace = keys.iter().fold(Workspace::new(Arc::from("amber")), |workspace, key| {
+        workspace.with_key(ClientKey::digest(key))
+    });
+    let workspaces = Some(Arc::new(WorkspaceDirectory::new(vec![workspace])));
+    Table { workspaces, ..table(version) }
+}
+
+#[test]
+fn table_that_is_given_up_leaves_the_keys_removed_that_it_removed() {
+    let mut active = ActiveTable::new();
+    active.receive_stored(at(0), 1, table_with_keys(13, &["kept"]));
+    active.receive_stored(at(1_000), 2, table_with_keys(6, &["kept", "removed"]));
+
+    assert!(active.tick(at(1_000 + retention_ms()), 2));
+
+    assert_eq!(active.version(), 6);
+    let workspaces = active.table().and_then(|t| t.workspaces.as_ref()).expect("workspaces");
+    assert!(workspaces.find(ClientKey::digest("kept")).is_some());
+    assert!(workspaces.find(ClientKey::digest("removed")).is_none());
+}
