--- a/crates/persimmond/tests/fleet/keys.rs
+++ b/crates/persimmond/tests/fleet/keys.rs
@@ -81,7 +81,7 @@
     let used = loopback_peer_addresses(count);
     let bound = loopback_peer_addresses(count);
     let common = cluster.store_proxy.address.to_string();
-    let mut daemons = Vec::new();
+    let mut starting = Vec::new();
     let (mut stores, mut peers, mut forwarding) = (Vec::new(), Vec::new(), Vec::new());
     let proxy = |used: SocketAddr, bound: SocketAddr| {
         FaultProxy::start_at(used, bound).expect("the proxy starts")
@@ -99,8 +99,14 @@
             .settings(&name, *used_at, &used)
             .replace(&common, &stores[number].address.to_string())
             .replace("[listen]", &format!("[listen]\npeer_ip = \"{}\"", bound_at.ip()));
-        daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
+        let path = folder.0.clone();
+        starting.push(std::thread::spawn(move || Daemon::start(&path, &name, &settings)));
     }
+    // Beside each other: each logs once, soon after its start, how many daemons it knows.
+    let daemons = starting
+        .into_iter()
+        .map(|thread| thread.join().expect("a start ends").expect("the daemon starts"))
+        .collect();
     let setup = Setup { cluster, daemons, _folder: folder };
     assert!(
         holds_within(CONDITION_TIMEOUT, || setup.daemons.iter().all(Daemon::is_ready)),
