--- a/crates/persimmon-proxy/src/control/check.rs
+++ b/crates/persimmon-proxy/src/control/check.rs
@@ -35,7 +35,7 @@
 const HOP_TIME: Duration = Duration::from_millis(150);
 
 /// Peers that are asked at the same time for what they have now.
-const MAX_ASKED_PEERS: usize = 3;
+const MAX_ASKED_PEERS: usize = 2;
 
 /// Objects that this daemon lacks.
 #[derive(Debug)]
@@ -215,22 +215,23 @@
     None
 }
 
-/// Asks those peers and the first daemons of all beside each other, whatever is proved already; returns
-/// what the first one has that knows of changes.
-pub(super) async fn ask_all_peers(
+/// The daemons of this failure domain that are most likely to have the newest objects.
+pub(super) fn local_peers(control: &Control) -> Vec<SocketAddr> {
+    let ranked = control.peers.owners(&Arc::from(WATCHER_KEY));
+    let candidates = ranked.candidates(&control.settings.failure_domain).iter().copied();
+    candidates.filter(|peer| *peer != control.settings.peers).take(MAX_ASKED_PEERS).collect()
+}
+
+/// Asks peers beside each other, whatever is proved already; returns what the first one has that knows
+/// of changes.
+pub(super) async fn ask_any_peer(
     control: &Control,
+    peers: &[SocketAddr],
     kind: RelayedKind,
     revision: Revision,
 ) -> Option<Found> {
-    let mut peers = check_peers(control);
-    for peer in control.peers.top(WATCHER_KEY, MAX_ASKED_PEERS) {
-        if peer != control.settings.peers && !peers.contains(&peer) {
-            peers.push(peer);
-        }
-    }
-    peers.truncate(MAX_ASKED_PEERS);
     let mut asking: FuturesUnordered<_> =
-        peers.into_iter().map(|peer| ask_peer(control, peer, kind, revision)).collect();
+        peers.iter().map(|peer| ask_peer(control, *peer, kind, revision)).collect();
     while let Some(found) = asking.next().await {
         if found.is_some() {
             return found;
--- a/crates/persimmon-proxy/src/control/on_demand.rs
+++ b/crates/persimmon-proxy/src/control/on_demand.rs
@@ -36,22 +36,21 @@
     }
 }
 
-/// Asks the store and peers beside each other for a newer table: only the store proves that there is
-/// none, and a peer has one that this daemon's link to the store does not deliver.
+/// Asks peers of the failure domain for a newer table, which costs no call to the store and no bytes
+/// between failure domains; the store is asked where no peer is known.
 async fn check_table(control: &Control, revision: Revision) {
-    let asking_store = async {
-        match check::ask_store(control, ObjectKind::Table, revision).await {
-            Ok(found) => apply(control, revision, found),
-            Err(err) => {
-                tracing::debug!(error = %err, "the store does not tell whether the table is current");
-            }
-        }
-    };
-    let asking_peers = async {
-        let found = check::ask_all_peers(control, RelayedKind::Table, revision).await;
+    let peers = check::local_peers(control);
+    if !peers.is_empty() {
+        let found = check::ask_any_peer(control, &peers, RelayedKind::Table, revision).await;
         apply(control, revision, found);
-    };
-    futures::join!(asking_store, asking_peers);
+        return;
+    }
+    match check::ask_store(control, ObjectKind::Table, revision).await {
+        Ok(found) => apply(control, revision, found),
+        Err(err) => {
+            tracing::debug!(error = %err, "the store does not tell whether the table is current");
+        }
+    }
 }
 
 fn apply(control: &Control, revision: Revision, found: Option<Found>) {
--- a/crates/persimmon-workspace/src/quota/limit.rs
+++ b/crates/persimmon-workspace/src/quota/limit.rs
@@ -14,13 +14,24 @@
 /// The shortest validity that leaves time for a round trip and for a wait at an instance.
 const MIN_VALIDITY: Duration = Duration::from_millis(300);
 
-/// Part of the allowance that capacity may use; the rest is for the validity of tokens. With 0.5,
-/// loads of 0.6 of a rate of 2 to 9 a second that came in threes were refused in 1.4 % of cases.
+/// The time before its expiry from which a token is not given to a new statement, at most.
+const MAX_MIN_LEFT: Duration = Duration::from_millis(250);
+
+/// Capacity that serves random arrivals near the rate: tokens, and standard deviations of the
+/// arrivals of a second.
+const RANDOM_CAPACITY: (f64, f64) = (6.0, 3.0);
+
+/// Part of the burst that capacity covers at least. Statements that wait for a token get the rest.
+const BURST_PART: f64 = 0.5;
+
+/// Part of what the bound allows beyond the rate that capacity may use; the rest is for the validity
+/// of tokens and a higher rate. With 0.5, loads of 0.6 of a rate of 2 to 9 a second that came in threes
+/// were refused in 1.4 % of cases.
 const CAPACITY_PART: f64 = 0.75;
 
-/// Capacity beyond the burst from which more serves random arrivals no better, in tokens and in
-/// seconds of the rate. Longer validity then lets statements wait longer at an instance.
-const USEFUL_CAPACITY: (f64, f64) = (30.0, 0.1);
+/// Part of that rest for the validity of tokens, which saves messages. What is left raises the rate: a
+/// workspace that never exceeds the bound of a window may exceed the rate of its quota for long.
+const VALIDITY_PART: f64 = 0.5;
 
 /// Part of the slack that lease starts may add: a whole token for each start at a window of 5 s and a
 /// slack of 20.
@@ -78,18 +89,22 @@
     pub fn new(quota: Quota, bounds: &Bounds) -> Self {
         let window = bounds.window.as_secs_f64();
         let usable = bounds.max_operations(quota) - bounds.slack * (START_PART + LATE_PART);
-        let mut rate = quota.rate_per_s;
-        let allowance = usable - rate * window;
-        let useful = quota.burst + USEFUL_CAPACITY.0.max(USEFUL_CAPACITY.1 * rate);
-        let left = allowance - useful.min(CAPACITY_PART * allowance);
-        let validity = if rate > 0.0 { left / rate } else { f64::MAX };
+        let random = RANDOM_CAPACITY.0 + RANDOM_CAPACITY.1 * quota.rate_per_s.sqrt();
+        let allowance = (usable - quota.rate_per_s * window).max(0.0);
+        let for_rate = allowance - quota.rate_per_s * MIN_VALIDITY.as_secs_f64();
+        let most = for_rate.clamp(0.0, CAPACITY_PART * allowance);
+        let wanted = random.max(BURST_PART * quota.burst).min(most);
+        // Without a whole token nothing could be granted.
+        let capacity = wanted.max(usable.clamp(0.0, 1.0));
+        let rest = (allowance - capacity).max(0.0);
+        let validity = VALIDITY_PART * rest / quota.rate_per_s;
+        let validity = if validity.is_finite() { validity } else { MAX_VALIDITY.as_secs_f64() };
         let validity = validity.clamp(MIN_VALIDITY.as_secs_f64(), MAX_VALIDITY.as_secs_f64());
-        let mut capacity = allowance - rate * validity;
-        if capacity < 1.0 {
-            // Without a whole token nothing could be granted; bounds this tight lower the rate.
-            capacity = usable.clamp(0.0, 1.0);
-            rate = ((usable - capacity) / (window + validity)).clamp(0.0, rate);
-        }
+        let rate = if quota.rate_per_s > 0.0 {
+            (usable - capacity).max(0.0) / (window + validity)
+        } else {
+            0.0
+        };
         let starts = max_lease_starts(window + validity);
         Self {
             rate,
@@ -103,7 +118,7 @@
     /// the statement has time to reach an instance.
     #[must_use]
     pub fn min_left(&self) -> Duration {
-        self.validity / 2
+        MAX_MIN_LEFT.min(self.validity / 2)
     }
 }
 
