--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -21,7 +21,10 @@
     slots: Slots,
     open_connections: AtomicUsize,
     total_connections: AtomicUsize,
+    refused_connections: AtomicUsize,
     loses_responses: AtomicBool,
+    /// Whether the name for which a connection was opened is compared with that of each request.
+    checks_users: AtomicBool,
     /// The words of statements that are refused, each with the code of the error.
     refusals: Mutex<HashMap<&'static str, &'static str>>,
     streams: Mutex<Vec<TcpStream>>,
@@ -83,6 +86,12 @@
         self.state.loses_responses.store(on, Ordering::Relaxed);
     }
 
+    /// Records a violation for each request whose session has another name than the one for which
+    /// its connection was opened: for tests whose workspaces have their keys as names.
+    pub fn check_users(&self) {
+        self.state.checks_users.store(true, Ordering::Relaxed);
+    }
+
     /// Refuses statements that begin with `word`, with an error of `code`; `None` ends that.
     pub fn set_refusal(&self, word: &'static str, code: Option<&'static str>) {
         let mut refusals = self.state.refusals.lock().unwrap_or_else(PoisonError::into_inner);
@@ -120,6 +129,12 @@
         self.state.total_connections.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections refused for the limit since the start.
+    #[must_use]
+    pub fn refused_connections(&self) -> usize {
+        self.state.refused_connections.load(Ordering::Relaxed)
+    }
+
     fn serve(&self, stream: TcpStream, id: &str) {
         let count = self.state.open_connections.fetch_add(1, Ordering::Relaxed);
         self.state.total_connections.fetch_add(1, Ordering::Relaxed);
@@ -151,9 +166,14 @@
             return write!(out, "ERROR MISROUTED {id}\r\n");
         }
         if count >= self.group.profile.max_connections {
+            self.state.refused_connections.fetch_add(1, Ordering::Relaxed);
             return write!(out, "ERROR TOOMANY {id}\r\n");
         }
-        let mut session = Session::new(self, id);
+        let user = words[2].trim_end_matches('\r');
+        if let Some(violation) = self.group.workspaces.connection_violation(user) {
+            self.group.record_violation(violation);
+        }
+        let mut session = Session::new(self, id, user);
         write!(out, "{}", session.ready())?;
         for line in lines {
             let response = session.handle_line(line?.trim_end_matches('\r'));
@@ -193,6 +213,8 @@
 struct Session<'a> {
     server: &'a InstanceServer,
     id: String,
+    /// Who is connecting, by the first line.
+    user: String,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, (bool, String)>,
     tx: Option<Tx>,
@@ -203,10 +225,11 @@
 type StatementResult = Result<(Vec<String>, Option<String>), (&'static str, String)>;
 
 impl<'a> Session<'a> {
-    fn new(server: &'a InstanceServer, id: &str) -> Self {
+    fn new(server: &'a InstanceServer, id: &str, user: &str) -> Self {
         Self {
             server,
             id: id.to_owned(),
+            user: user.to_owned(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             tx: None,
@@ -268,6 +291,9 @@
             }
         }
         let words: Vec<&str> = text.splitn(3, ' ').collect();
+        if matches!(words[0], "READ" | "WRITE" | "EXECUTE") {
+            self.server.group.record_reached(id);
+        }
         if self.tx.as_ref().is_some_and(|tx| tx.has_failed) && words[0] != "ROLLBACK" {
             return Err(("MALFORMED", "the transaction failed".to_owned()));
         }
@@ -353,9 +379,16 @@
     }
 
     /// Records a violation if a request runs with the settings or in the transaction of another
-    /// session. A request's id holds its session's name before a colon.
+    /// session, or on a connection of another workspace. A request's id holds its session's name before a colon.
     fn check_session_isolation(&mut self, id: &str) {
+        if let Some(violation) = self.server.group.workspaces.statement_violation(&self.user, id) {
+            self.server.group.record_violation(violation);
+        }
         let session_name = id.split(':').next().unwrap_or_default().to_owned();
+        if self.server.state.checks_users.load(Ordering::Relaxed) && self.user != session_name {
+            let violation = format!("request {id} ran on a connection of {}", self.user);
+            self.server.group.record_violation(violation);
+        }
         let expected = self.values.get("who").cloned();
         if expected.as_ref().is_some_and(|who| *who != session_name) {
             let violation = format!("request {id} ran with the values of {expected:?}");
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod instance;
 mod store;
+mod workspaces;
 
 use std::collections::HashMap;
 use std::io;
@@ -61,6 +62,11 @@
     checks_drain_limit: bool,
     /// The workspaces of the table, in the form of the platform; `None` in a deployment without them.
     workspaces: Mutex<Option<Value>>,
+    /// The databases whose routes need no key.
+    public_databases: Mutex<Vec<String>>,
+    /// The bounds of quotas in the settings of daemons, as the platform writes them; empty in a
+    /// deployment without quotas.
+    quota_bounds: String,
     /// What each instance wrote last of itself, and how often it has written.
     written: Mutex<HashMap<String, (Value, u64)>>,
 }
@@ -101,6 +107,8 @@
             drain_limit: DEFAULT_DRAIN_LIMIT,
             checks_drain_limit: true,
             workspaces: Mutex::default(),
+            public_databases: Mutex::default(),
+            quota_bounds: String::new(),
             written: Mutex::default(),
         };
         cluster.publish_instances(false);
@@ -126,11 +134,31 @@
     }
 
     /// Sets the workspaces that the next versions of the table contain, in the form of the platform. A
-    /// client of [`LineClient`] sends its name as its key.
+    /// client of [`LineClient`] sends its name as its key. Instances record a violation if a statement
+    /// of a key runs on a connection that names none of the workspaces which have held that key.
     pub fn set_workspaces(&self, workspaces: Value) {
+        for (group, _) in &self.groups {
+            group.workspaces.add(&workspaces);
+        }
         *self.workspaces.lock().unwrap_or_else(PoisonError::into_inner) = Some(workspaces);
     }
 
+    /// Lets the next versions of the table route these databases without a key.
+    pub fn set_public_databases(&self, databases: &[&str]) {
+        let databases = databases.iter().map(|database| (*database).to_owned()).collect();
+        *self.public_databases.lock().unwrap_or_else(PoisonError::into_inner) = databases;
+    }
+
+    /// Sets how far the settings of daemons let quotas be exceeded: the window in seconds, the part of
+    /// the quota, and a number of operations.
+    #[must_use]
+    pub fn with_quota_bounds(mut self, window_s: f64, overage: f64, slack: f64) -> Self {
+        self.quota_bounds = format!(
+            "quota_window_s = {window_s:?}\nquota_overage = {overage:?}\nquota_slack = {slack:?}\n"
+        );
+        self
+    }
+
     /// Lets instances record no new work after the drain limit: for runs in which daemons may be kept
     /// from learning that an instance leaves.
     #[must_use]
@@ -161,7 +189,7 @@
                 let state = if is_draining { "draining" } else { "ready" };
                 let entry = json!({
                     "service": group.name, "address": instance.proxy.address.to_string(),
-                    "zone": "z1", "version": "v1", "slots": 5, "state": state, "cold_ms": 0,
+                    "zone": "z1", "version": "v1", "slots": group.profile.slots, "state": state, "cold_ms": 0,
                     "db_role": group.role(index), "born": group.born(index),
                 });
                 self.write_entry(&instance.id, entry, false);
@@ -223,6 +251,12 @@
         for (database, service) in extra_routes {
             routes.push(route_json(database, "primary", &format!("svc{service}")));
         }
+        let public = self.public_databases.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        for route in &mut routes {
+            if public.iter().any(|database| route["host"] == **database) {
+                route["public"] = json!(true);
+            }
+        }
         let mut table = json!({
             "version": version, "routes": routes, "services": services,
             "limits": {"tx_idle_ms": 3_000},
@@ -245,12 +279,13 @@
              heartbeat_ms = 1200\ninternal_port_range = [{first}, {last}]\n[listen]\nfront = \"{ip}:0\"\n\
              ready = \"{ip}:0\"\ncontrol = \"{peers}\"\n\
              metrics = \"{ip}:0\"\n[bounds]\n\
-             drain_ms = {drain_ms}\ngrace_s = 6\n[platform]\naddress = \"{store}\"\n[cloud_api]\n\
+             drain_ms = {drain_ms}\ngrace_s = 6\n{quota}[platform]\naddress = \"{store}\"\n[cloud_api]\n\
              address = \"{store}\"\n",
             seeds.join(","),
             first = PEER_PORT + 1,
             last = PEER_PORT + 15,
             drain_ms = self.drain_limit.as_millis(),
+            quota = self.quota_bounds,
             store = self.store_proxy.address,
         )
     }
--- a/crates/persimmon-proxy/src/forwarding/mod.rs
+++ b/crates/persimmon-proxy/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 //! - A statement that may have reached another daemon is refused as "not run" only if that daemon
 //!   said so.
 
+mod frame;
 mod link;
 mod owner;
 mod service;
@@ -23,12 +24,14 @@
 use persimmon_ownership::{HopFailure, Path, ServiceOwners, after_hop, choose_path};
 use persimmon_types::Clock;
 
+pub(crate) use crate::forwarding::frame::FrameRoom;
 pub(crate) use crate::forwarding::link::Links;
 use crate::forwarding::link::{Link, Patience};
 pub(crate) use crate::forwarding::owner::{HeldCount, serve};
-use crate::forwarding::service::{ContinueRequest, ExecuteRequest};
+use crate::forwarding::service::{ContinueRequest, ExecuteRequest, Refusal};
 use crate::forwarding::wire::WireStatement;
 use crate::metrics::Metrics;
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 use crate::statement_job::{Execution, ExecutionMode, StatementJob};
 use crate::traffic::Worker;
 use crate::transaction::{OpenTransaction, TransactionStep};
@@ -76,6 +79,7 @@
                 execution.owner = Some(owner);
                 execution.failure = Some(Arc::from(format!("{failure:?}")));
                 execution.was_lost = was_lost;
+                execution.was_sent = was_lost || failure == HopFailure::Unanswered;
                 return execution.refused(code);
             }
             was_lost |= failure == HopFailure::Unanswered;
@@ -83,6 +87,20 @@
         }
     }
 
+    /// Sends a quota message to another daemon, which answers `None` if it does not coordinate.
+    pub(crate) async fn call_quota(
+        &self,
+        peer: SocketAddr,
+        request: WireQuotaRequest,
+        limit: Duration,
+    ) -> Result<Option<WireQuotaAnswer>, HopFailure> {
+        let port = self.settings.forwarding.ok_or(HopFailure::NotForwarded)?.port();
+        let link = self.links.link(peer, SocketAddr::new(peer.ip(), port));
+        let client = link.client().await.ok_or(HopFailure::NotForwarded)?;
+        let calling = client.quota(link.short_context(limit), request);
+        link.wait(calling, Clock.now() + limit, Patience::UntilDeadline).await
+    }
+
     /// The owners of a service; `None` if every daemon connects to its instances.
     fn owners(&self, service: &Arc<str>) -> Option<Arc<ServiceOwners>> {
         self.peers.needed_owners(service, self.max_connections(service))
@@ -120,16 +138,30 @@
         let link = self.links.link(owner, SocketAddr::new(owner.ip(), forwarding.port()));
         let client = link.client().await.ok_or(HopFailure::NotForwarded)?;
         let transaction = link.next_transaction();
-        let request =
-            ExecuteRequest { statement: WireStatement::from(job), mode: mode.into(), transaction };
+        let mut statement = WireStatement::from(job);
+        if let Some(send_by) = job.send_by {
+            // A statement that is delayed on the way must not be sent after its token has expired.
+            let there = link.peer_time(&client, send_by).await;
+            statement.send_by_us = Some(there.ok_or(HopFailure::NotForwarded)?);
+        }
+        let request = ExecuteRequest { statement, mode: mode.into(), transaction };
         Metrics::increment(&self.metrics.statements_forwarded);
         let patience = Patience::of(mode.attempt_kind());
         let calling = client.execute(link.context(job), request);
         let answer = match link.wait(calling, job.deadline, patience).await {
-            Ok(Ok(reply)) => reply,
+            Ok(Ok(reply)) => {
+                link.record_clock(reply.clock_us);
+                reply
+            }
             Ok(Err(refusal)) => {
                 link.record_refusal(refusal);
-                return Err(HopFailure::NotForwarded);
+                let Some(code) = refused_code(refusal) else {
+                    return Err(HopFailure::NotForwarded);
+                };
+                let mut execution = Execution::new(mode);
+                execution.owner = Some(owner);
+                execution.failure = Some(Arc::from(format!("{refusal:?}")));
+                return Ok(execution.refused(code));
             }
             Err(failure) => {
                 if failure == HopFailure::Unanswered && mode.opens_transaction() {
@@ -150,6 +182,17 @@
     }
 }
 
+/// The code for a statement that an owner refuses and that no other path may run; `None` if another
+/// one may.
+fn refused_code(refusal: Refusal) -> Option<ErrorCode> {
+    match refusal {
+        Refusal::UnknownKey => Some(ErrorCode::UnknownKey),
+        // This daemon's table is behind; the client may retry once it is not.
+        Refusal::OtherWorkspace => Some(ErrorCode::Busy),
+        Refusal::Draining | Refusal::UnknownService | Refusal::UnknownTransaction => None,
+    }
+}
+
 /// A transaction that is open on a connection of another daemon.
 struct ForwardedTransaction {
     link: Rc<Link>,
@@ -178,11 +221,15 @@
         match self.link.wait(calling, job.deadline, Patience::UntilDeadline).await {
             Ok(Ok(reply)) => reply.try_into().unwrap_or_else(|()| lost(HopFailure::Unanswered)),
             // The other daemon no longer has the transaction, so it is rolled back.
-            Ok(Err(_)) => TransactionStep {
-                result: Err(AttemptFailure::Answered(ErrorCode::Busy)),
-                attempts: 1,
-                commit_position: None,
-            },
+            Ok(Err(refusal)) => {
+                self.link.record_refusal(refusal);
+                let code = refused_code(refusal).unwrap_or(ErrorCode::Busy);
+                TransactionStep {
+                    result: Err(AttemptFailure::Answered(code)),
+                    attempts: 1,
+                    commit_position: None,
+                }
+            }
             Err(failure) => lost(failure),
         }
     }
--- a/crates/persimmon-proxy/src/forwarding/owner.rs
+++ b/crates/persimmon-proxy/src/forwarding/owner.rs
@@ -21,11 +21,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
+use crate::forwarding::frame::frame;
 use crate::forwarding::service::{
-    ContinueReply, ContinueRequest, ExecuteReply, ExecuteRequest, ForwardService, Refusal, frame,
+    ContinueReply, ContinueRequest, ExecuteReply, ExecuteRequest, ForwardService, Refusal,
 };
 use crate::forwarding::wire::ReceivedStatement;
+use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 use crate::statement_job::{Execution, ExecutionMode};
 use crate::traffic::{ShutdownStage, Worker};
 use crate::transaction::{OpenTransaction, TransactionStep};
@@ -116,6 +119,13 @@
             return Err(Refusal::Draining);
         }
         let received = ReceivedStatement::from(request.statement);
+        self.check_caller(&received)?;
+        let share = MemoryShare::new(Rc::clone(&worker.forwarded_budget));
+        if !share.record(received.bytes()) {
+            self.refuse_for_memory(&received, share.total());
+            let execution = Execution::new(ExecutionMode::from(request.mode));
+            return Ok(ExecuteReply::from(execution.refused(ErrorCode::Busy)));
+        }
         if worker.snapshot().instances(&received.route.service).is_empty() {
             return Err(Refusal::UnknownService);
         }
@@ -143,10 +153,20 @@
             return Err(Refusal::UnknownTransaction);
         };
         let received = ReceivedStatement::from(request.statement);
+        if let Err(refusal) = self.check_caller(&received) {
+            self.transactions.borrow_mut().remove(&number);
+            transaction.rollback();
+            return Err(refusal);
+        }
+        let share = MemoryShare::new(Rc::clone(&self.worker.forwarded_budget));
+        let has_room = share.record(received.bytes());
+        if !has_room {
+            self.refuse_for_memory(&received, share.total());
+        }
         let instance = Arc::clone(transaction.instance());
         let mut job = received.job();
         job.deadline = self.worker.limit_deadline(job.deadline);
-        let step = if self.worker.may_start(received.route.statement_timeout) {
+        let step = if has_room && self.worker.may_start(received.route.statement_timeout) {
             transaction.execute(&job, request.has_written).await
         } else {
             TransactionStep::not_sent()
@@ -167,6 +187,35 @@
         Ok(ContinueReply::from(step))
     }
 
+    /// Refuses a statement that the active table does not allow to run for its workspace, unless the
+    /// sender's table is newer.
+    fn check_caller(&self, received: &ReceivedStatement) -> Result<(), Refusal> {
+        let snapshot = self.worker.snapshot();
+        let Some(table) = &snapshot.table else {
+            return Ok(());
+        };
+        let caller = received.caller.as_ref().map(|c| (&*c.workspace, c.key));
+        let checked = table.check_forwarded(&received.route, caller, received.table_version);
+        checked.map_err(|problem| {
+            Metrics::increment(&self.worker.metrics.unknown_keys);
+            if self.worker.log.should_log(true) {
+                tracing::info!(id = %received.id(), caller = %self.caller,
+                    database = %received.route.database, table = table.version,
+                    sender_table = received.table_version, %problem,
+                    "forwarded statement refused");
+            }
+            Refusal::from(problem)
+        })
+    }
+
+    fn refuse_for_memory(&self, received: &ReceivedStatement, total_bytes: usize) {
+        Metrics::increment(&self.worker.metrics.forwarded_refused);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %received.id(), caller = %self.caller, bytes = received.bytes(),
+                total_bytes, "not run: forwarded statements occupy too much memory");
+        }
+    }
+
     fn log(&self, received: &ReceivedStatement, execution: &Execution, took: Duration) {
         let code = match &execution.result {
             Ok(answer) => answer.code().cloned(),
@@ -182,6 +231,8 @@
             code = code.map(|c: ErrorCode| format!("{c:?}")),
             ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
             congestion_ms = execution.congestion_ms.map(f64::round),
+            queue = execution.queue.map(|q| format!("{:?}", q.decision)),
+            queue_position = execution.queue.map(|q| q.position),
             "forwarded statement"
         );
     }
@@ -251,6 +302,14 @@
     }
 
     async fn ping(self, _: Context) {}
+
+    async fn clock(self, _: Context) -> u64 {
+        Clock.now().as_micros()
+    }
+
+    async fn quota(self, _: Context, request: WireQuotaRequest) -> Option<WireQuotaAnswer> {
+        self.worker.answer_quota(request)
+    }
 }
 
 /// Accepts connections of other daemons, and checks the connections to them, until the process
@@ -282,7 +341,7 @@
 }
 
 async fn serve_connection(worker: Rc<Worker>, stream: TcpStream, caller: SocketAddr) {
-    let transport = match frame(stream) {
+    let transport = match frame(stream, Some(&worker.frame_room)) {
         Ok(transport) => transport,
         Err(err) => {
             tracing::warn!(%caller, error = %err, "a daemon's connection cannot be used");
--- a/crates/persimmon-proxy/src/forwarding/service.rs
+++ b/crates/persimmon-proxy/src/forwarding/service.rs
@@ -1,20 +1,14 @@
 //! Calls between a daemon and the owner of a service, over `tarpc`.
 
-use std::io;
 use std::sync::Arc;
 
+use persimmon_interfaces::CallerMismatch;
 use serde::{Deserialize, Serialize};
-use tarpc::serde_transport::{self, Transport};
-use tarpc::tokio_serde::formats::Json;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::net::TcpStream;
 
-use crate::forwarding::wire::{WireAnswer, WireCode, WireFailure, WireMode, WireStatement};
-use crate::socket;
-
-/// Maximum message size in bytes: a client's message and its answer, each at most 1 MiB, with what
-/// JSON adds to escape them.
-const FRAME_LIMIT: usize = 4 << 20;
+use crate::forwarding::wire::{
+    WireAnswer, WireCode, WireFailure, WireMode, WireQueueReport, WireStatement,
+};
+use crate::quota::{WireQuotaAnswer, WireQuotaRequest};
 
 /// Why a daemon did not run a forwarded statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +19,21 @@
     UnknownService,
     /// The daemon does not have the transaction; if it had, it is rolled back.
     UnknownTransaction,
+    /// The key identifies no workspace in a table that is at least as new as the sender's. A
+    /// transaction is rolled back.
+    UnknownKey,
+    /// By such a table the statement belongs to another workspace than the sender says. A transaction is
+    /// rolled back.
+    OtherWorkspace,
+}
+
+impl From<CallerMismatch> for Refusal {
+    fn from(mismatch: CallerMismatch) -> Self {
+        match mismatch {
+            CallerMismatch::UnknownKey => Self::UnknownKey,
+            CallerMismatch::OtherWorkspace => Self::OtherWorkspace,
+        }
+    }
 }
 
 /// A statement outside a transaction, or the first one of a transaction.
@@ -48,10 +57,18 @@
     pub(crate) after: Option<persimmon_types::Position>,
     pub(crate) failure: Option<Arc<str>>,
     pub(crate) congestion_ms: Option<f64>,
+    #[serde(default)]
+    pub(crate) queue: Option<WireQueueReport>,
     pub(crate) retry_after_us: u64,
     pub(crate) min_position_wait_us: u64,
     pub(crate) connection_wait_us: u64,
     pub(crate) commit_position: Option<persimmon_types::Position>,
+    /// Whether it was sent to no instance.
+    #[serde(default)]
+    pub(crate) was_not_sent: bool,
+    /// The time of the answer on the owner's clock, in microseconds.
+    #[serde(default)]
+    pub(crate) clock_us: u64,
 }
 
 /// A later statement of a transaction.
@@ -84,23 +101,11 @@
 
     /// Returns at once.
     async fn ping();
-}
 
-/// A connection between two daemons, framed for messages in each direction.
-pub(crate) type Framed<In, Out> = Transport<TcpStream, In, Out, Json<In, Out>>;
+    /// Returns the time on the daemon's clock, in microseconds.
+    async fn clock() -> u64;
 
-/// Frames a connection for messages.
-///
-/// # Errors
-///
-/// Returns an error if the socket refuses an option.
-pub(crate) fn frame<In, Out>(stream: TcpStream) -> io::Result<Framed<In, Out>>
-where
-    In: for<'de> Deserialize<'de>,
-    Out: Serialize,
-{
-    socket::set_options(&stream, true)?;
-    let codec = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec();
-    let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
-    Ok(serde_transport::new(framed, Json::default()))
+    /// Leases the caller's share of the quotas and requests tokens; `None` if the daemon does not
+    /// coordinate.
+    async fn quota(request: WireQuotaRequest) -> Option<WireQuotaAnswer>;
 }
--- a/crates/persimmon-proxy/src/forwarding/wire.rs
+++ b/crates/persimmon-proxy/src/forwarding/wire.rs
@@ -16,7 +16,9 @@
 
 use crate::connection::{Answer, Shape};
 use crate::forwarding::service::{ContinueReply, ExecuteReply};
-use crate::statement_job::{Caller, Execution, ExecutionMode, StatementJob};
+use crate::statement_job::{
+    Caller, Execution, ExecutionMode, QueueDecision, QueueReport, StatementJob,
+};
 use crate::transaction::TransactionStep;
 
 /// Microseconds of a duration, for the wire.
@@ -69,20 +71,18 @@
     workspace: Arc<str>,
     /// The digest of the key, never its text.
     key: ClientKey,
-    /// The version of the sender's table.
-    table: u64,
 }
 
 impl From<&Caller> for WireCaller {
     fn from(caller: &Caller) -> Self {
         let workspace = Arc::clone(&caller.workspace);
-        Self { workspace, key: caller.key, table: caller.table_version }
+        Self { workspace, key: caller.key }
     }
 }
 
 impl From<WireCaller> for Caller {
     fn from(wire: WireCaller) -> Self {
-        Self { workspace: wire.workspace, key: wire.key, table_version: wire.table }
+        Self { workspace: wire.workspace, key: wire.key }
     }
 }
 
@@ -97,11 +97,17 @@
     route: Route,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     caller: Option<WireCaller>,
+    /// The version of the sender's table; zero from a daemon that knows of no workspaces.
+    #[serde(default)]
+    table_version: u64,
     last_commit_position: Option<Position>,
     /// Age of the session's last commit without a known position, if there was one.
     unpositioned_commit_age_us: Option<u64>,
     fresh_as_of_age_us: u64,
     remaining_us: u64,
+    /// When its quota token expires on the receiver's clock, in microseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) send_by_us: Option<u64>,
 }
 
 impl From<&StatementJob<'_>> for WireStatement {
@@ -121,10 +127,12 @@
             variables: job.variables.clone(),
             route: (*job.route).clone(),
             caller: job.caller.map(WireCaller::from),
+            table_version: job.table_version,
             last_commit_position: job.last_commit_position,
             unpositioned_commit_age_us: unpositioned.map(age_us),
             fresh_as_of_age_us: age_us(job.fresh_as_of),
             remaining_us: micros(job.deadline.since(now)),
+            send_by_us: None,
         }
     }
 }
@@ -137,10 +145,13 @@
     variables: BTreeMap<Arc<str>, Arc<str>>,
     pub(crate) route: Arc<Route>,
     pub(crate) caller: Option<Caller>,
+    /// The version of the sender's table.
+    pub(crate) table_version: u64,
     last_commit_position: Option<Position>,
     unpositioned_commit_at: Time,
     fresh_as_of: Time,
     deadline: Time,
+    send_by: Option<Time>,
 }
 
 impl From<WireStatement> for ReceivedStatement {
@@ -159,10 +170,12 @@
             variables: wire.variables,
             route: Arc::new(wire.route),
             caller: wire.caller.map(Caller::from),
+            table_version: wire.table_version,
             last_commit_position: wire.last_commit_position,
             unpositioned_commit_at,
             fresh_as_of: now - Duration::from_micros(wire.fresh_as_of_age_us),
             deadline: now + Duration::from_micros(wire.remaining_us),
+            send_by: wire.send_by_us.map(Time::from_micros),
         }
     }
 }
@@ -173,18 +186,26 @@
         &self.query.id
     }
 
+    /// The size of its text and of its session's values, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        let values: usize = self.variables.iter().map(|(name, v)| name.len() + v.len()).sum();
+        self.query.text.len() + values
+    }
+
     /// The statement as a job of this daemon.
     pub(crate) fn job(&self) -> StatementJob<'_> {
         StatementJob {
             query: &self.query,
             route: Arc::clone(&self.route),
             caller: self.caller.as_ref(),
+            table_version: self.table_version,
             shape: self.shape.as_ref(),
             variables: &self.variables,
             last_commit_position: self.last_commit_position,
             unpositioned_commit_at: self.unpositioned_commit_at,
             fresh_as_of: self.fresh_as_of,
             deadline: self.deadline,
+            send_by: self.send_by,
         }
     }
 }
@@ -345,6 +366,61 @@
     }
 }
 
+/// [`QueueDecision`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum WireQueueDecision {
+    Dispatched,
+    TooLate,
+    QueueFull,
+    InstanceUnavailable,
+}
+
+/// [`QueueReport`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct WireQueueReport {
+    priority: u8,
+    position: u32,
+    predicted_us: u64,
+    waited_us: u64,
+    decision: WireQueueDecision,
+}
+
+impl From<QueueReport> for WireQueueReport {
+    fn from(report: QueueReport) -> Self {
+        let decision = match report.decision {
+            QueueDecision::Dispatched => WireQueueDecision::Dispatched,
+            QueueDecision::TooLate => WireQueueDecision::TooLate,
+            QueueDecision::QueueFull => WireQueueDecision::QueueFull,
+            QueueDecision::InstanceUnavailable => WireQueueDecision::InstanceUnavailable,
+        };
+        Self {
+            priority: report.priority,
+            position: report.position,
+            predicted_us: micros(report.predicted_wait),
+            waited_us: micros(report.waited),
+            decision,
+        }
+    }
+}
+
+impl From<WireQueueReport> for QueueReport {
+    fn from(wire: WireQueueReport) -> Self {
+        let decision = match wire.decision {
+            WireQueueDecision::Dispatched => QueueDecision::Dispatched,
+            WireQueueDecision::TooLate => QueueDecision::TooLate,
+            WireQueueDecision::QueueFull => QueueDecision::QueueFull,
+            WireQueueDecision::InstanceUnavailable => QueueDecision::InstanceUnavailable,
+        };
+        Self {
+            priority: wire.priority,
+            position: wire.position,
+            predicted_wait: Duration::from_micros(wire.predicted_us),
+            waited: Duration::from_micros(wire.waited_us),
+            decision,
+        }
+    }
+}
+
 impl From<Execution> for ExecuteReply {
     fn from(execution: Execution) -> Self {
         Self {
@@ -356,10 +432,13 @@
             after: execution.after,
             failure: execution.failure,
             congestion_ms: execution.congestion_ms,
+            queue: execution.queue.map(WireQueueReport::from),
             retry_after_us: micros(execution.retry_after),
             min_position_wait_us: micros(execution.min_position_wait),
             connection_wait_us: micros(execution.connection_wait),
             commit_position: execution.commit_position,
+            was_not_sent: !execution.was_sent,
+            clock_us: Clock.now().as_micros(),
         }
     }
 }
@@ -378,10 +457,12 @@
         execution.after = reply.after;
         execution.failure = reply.failure;
         execution.congestion_ms = reply.congestion_ms;
+        execution.queue = reply.queue.map(QueueReport::from);
         execution.retry_after = Duration::from_micros(reply.retry_after_us);
         execution.min_position_wait = Duration::from_micros(reply.min_position_wait_us);
         execution.connection_wait = Duration::from_micros(reply.connection_wait_us);
         execution.commit_position = reply.commit_position;
+        execution.was_sent = !reply.was_not_sent;
         Ok(execution)
     }
 }
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -12,9 +12,13 @@
 
 mod active_table;
 mod adapter;
+mod client_limits;
 mod connection;
+mod connection_waiter;
 mod control;
 mod directory;
+mod dispatch_metrics;
+mod dispatcher;
 mod drain;
 mod drain_notices;
 mod execute;
@@ -27,6 +31,7 @@
 mod peer_service;
 mod pool;
 mod primaries;
+mod quota;
 mod reachability;
 
 mod relay;
@@ -38,12 +43,17 @@
 mod snapshot;
 mod socket;
 mod statement_job;
+mod table_checks;
 mod traffic;
 mod transaction;
 mod wire_member;
 
 pub use active_table::{ActiveTable, LOST_TABLE_RETENTION, TableOutcome};
 pub use adapter::{Adapter, PlatformClients};
+pub use client_limits::{
+    ANSWER_TIMEOUT, ClientLimits, MESSAGE_TIMEOUT, Phase, SessionView, session_to_close,
+    unread_to_close,
+};
 pub use directory::{Directory, EntryVersion};
 pub use drain::ShutdownSchedule;
 pub use drain_notices::DrainNotice;
@@ -51,9 +61,11 @@
 pub use memory_budget::{MemoryBudget, MemoryShare};
 pub use metrics::Metrics;
 pub use peer_list::PeerList;
+pub use quota::QuotaMetrics;
 pub use reachability::Reachability;
 pub use run::run;
 pub use session::state::{SessionState, StateLimit};
 pub use settings::{QuotaBounds, Settings, session_state_limits};
 pub use snapshot::{DirectoryEntry, RoutingSnapshot};
 pub use socket::connect;
+pub use table_checks::is_check_due;
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::dispatch_metrics::DispatchMetrics;
+use crate::quota::QuotaMetrics;
+
 /// Upper bounds of the latency buckets, in milliseconds: from the overhead of the proxy to the
 /// longest client deadline.
 const BUCKETS_MS: [u64; 12] = [1, 2, 5, 10, 25, 50, 100, 200, 400, 1_000, 2_000, 8_000];
@@ -25,7 +28,7 @@
         self.sum_us.fetch_add(us, Ordering::Relaxed);
     }
 
-    fn render(&self, name: &str, out: &mut String) {
+    pub(crate) fn render(&self, name: &str, out: &mut String) {
         let mut total = 0;
         // Writing to a string cannot fail.
         let _ = writeln!(out, "# TYPE {name}_seconds histogram");
@@ -52,8 +55,12 @@
             pub directory_age_ms: AtomicU64,
             /// Milliseconds since the table was last known to be the store's.
             pub table_age_ms: AtomicU64,
+            /// Quotas by workspace.
+            pub quotas: QuotaMetrics,
             /// Bytes of the values and prepared statements of all sessions.
             pub session_state_bytes: AtomicU64,
+            /// Statements that wait for room at an instance.
+            pub dispatch: DispatchMetrics,
             $($(#[$doc])* pub $name: AtomicU64,)*
         }
 
@@ -72,7 +79,19 @@
     sessions_opened,
     /// Sessions ended.
     sessions_closed,
-    /// Sessions and statements refused because the key identifies no workspace.
+    /// Clients refused because too many sessions are open.
+    sessions_refused,
+    /// Sessions closed so that other clients can open one.
+    sessions_closed_for_room,
+    /// Sessions closed because their clients took too long to send a message.
+    sessions_closed_half_message,
+    /// Sessions closed because their clients do not read answers.
+    sessions_closed_unread,
+    /// Messages refused because those of all sessions occupy too much memory.
+    messages_refused,
+    /// Forwarded statements refused because those of all daemons occupy too much memory.
+    forwarded_refused,
+    /// Sessions and statements refused because the key does not identify their workspace.
     unknown_keys,
     /// Values and prepared statements of sessions refused for their size or number.
     session_state_refused,
@@ -104,6 +123,12 @@
     connections_opened,
     /// Attempts to open connections to instances that failed.
     connections_failed,
+    /// Connections opened for a workspace that had none to the instance that served its statements.
+    workspace_connections_first,
+    /// Idle connections closed in favour of another workspace.
+    workspace_connections_replaced,
+    /// Statements of workspaces that waited for a connection.
+    workspace_connection_waits,
     /// Connections to instances that failed while an answer was outstanding.
     connections_lost,
     /// Calls to the store.
@@ -112,6 +137,10 @@
     store_checks,
     /// Calls to the store that failed.
     store_failures,
+    /// Operations refused because their workspace is over its quota.
+    over_quota,
+    /// Quota messages sent to other daemons.
+    quota_messages,
     /// Attempts to open connections to other daemons.
     peer_connections,
     /// Promotions requested.
@@ -144,7 +173,9 @@
             // Writing to a string cannot fail.
             let _ = writeln!(out, "# TYPE persimmon_{name} gauge\npersimmon_{name} {value}");
         }
+        self.quotas.render(&mut out);
         self.statement.render("persimmon_statement", &mut out);
+        self.dispatch.render(&mut out);
         out
     }
 }
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::{Answer, Shape};
 use crate::metrics::Metrics;
+use crate::quota::OverQuota;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::{
     Execution, ExecutionMode, RETRY_AFTER, StatementJob, access, autocommit_mode,
@@ -22,12 +23,6 @@
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
         let worker = Rc::clone(&self.worker);
-        if let Tx::Begun { route, .. } | Tx::Open { route, .. } = &self.tx {
-            let route = Arc::clone(route);
-            if self.identify(&route).is_err() {
-                return self.refuse_unknown_key(query);
-            }
-        }
         let (mode, route, fresh_as_of) = match &self.tx {
             Tx::Open { .. } => return self.continue_transaction(query, shape, arrival).await,
             Tx::Begun { is_read_only, arrival, route } => {
@@ -44,17 +39,20 @@
                         "the database's route was removed");
                     return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
                 };
-                if self.identify(&route).is_err() {
-                    return self.refuse_unknown_key(query);
-                }
                 (autocommit_mode(access), route, arrival)
             }
         };
         if !worker.may_start(route.statement_timeout) {
             return self.refuse_in_shutdown(query, &route);
         }
-        let job = self.new_job(query, shape, &route, fresh_as_of, arrival);
+        let permit = match worker.admit_operation(self.caller.as_ref(), &route).await {
+            Ok(permit) => permit,
+            Err(over) => return self.refuse_over_quota(query, &route, over),
+        };
+        let mut job = self.new_job(query, shape, &route, fresh_as_of, arrival);
+        job.send_by = permit.send_by();
         let execution = worker.run(&job, mode).await;
+        worker.settle_permit(permit, &execution);
         self.record_statement(query, &route, access, arrival, &execution);
         let has_begun = matches!(self.tx, Tx::Begun { .. });
         let Execution { result, transaction, mode, retry_after, commit_position, .. } = execution;
@@ -81,6 +79,7 @@
                 }
                 self.send_answer(answer);
             }
+            Err(ErrorCode::UnknownKey) => return self.refuse_key(query),
             Err(code) => {
                 if has_begun {
                     self.tx = if is_commit { Tx::None } else { Tx::Failed };
@@ -106,6 +105,27 @@
         true
     }
 
+    /// Refuses the first statement of an operation whose workspace is over its quota; returns whether
+    /// the session continues.
+    fn refuse_over_quota(&mut self, query: &Query, route: &Route, over: OverQuota) -> bool {
+        let workspace = self.caller.as_ref().map_or("", |c| &c.workspace);
+        if self.worker.log.should_log(true) {
+            tracing::info!(id = %query.id, database = %route.database, workspace,
+                retry_ms = whole_ms(over.retry_after), priority = route.priority,
+                quota = self.worker.describe_quota(workspace),
+                "not run: the workspace is over its quota");
+        }
+        Metrics::increment(&self.worker.metrics.statements_not_run);
+        let has_transaction = !matches!(self.tx, Tx::None);
+        let code = if has_transaction { ErrorCode::Aborted } else { ErrorCode::Busy };
+        self.tx = match (has_transaction, query.statement == Statement::Commit) {
+            (true, false) => Tx::Failed,
+            _ => Tx::None,
+        };
+        self.send(&[refusal(code, over.retry_after), ready(self.status(), None)]);
+        true
+    }
+
     /// The transaction state after its first statement was answered.
     fn transaction_after_first(
         transaction: Box<dyn OpenTransaction>,
@@ -145,12 +165,14 @@
             query,
             route: Arc::clone(route),
             caller: self.caller.as_ref(),
+            table_version: self.table_version(),
             shape,
             variables: self.state.variables(),
             last_commit_position: self.last_commit_position,
             unpositioned_commit_at: self.unpositioned_commit_at,
             fresh_as_of,
             deadline: self.worker.limit_deadline(arrival + route.statement_timeout),
+            send_by: None,
         }
     }
 
@@ -274,6 +296,11 @@
             connection_ms = whole_ms(execution.connection_wait),
             directory_ms = execution.directory_age.map(whole_ms),
             congestion_ms = execution.congestion_ms.map(f64::round),
+            queue = execution.queue.map(|q| format!("{:?}", q.decision)),
+            queue_class = execution.queue.map(|q| q.priority),
+            queue_position = execution.queue.map(|q| q.position),
+            queue_predicted_ms = execution.queue.map(|q| whole_ms(q.predicted_wait)),
+            queue_ms = execution.queue.map(|q| whole_ms(q.waited)),
             outcome, "request"
         );
     }
--- a/crates/persimmon-proxy/src/statement_job.rs
+++ b/crates/persimmon-proxy/src/statement_job.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_balancing::{AttemptKind, final_error_code};
+use persimmon_balancing::{AttemptKind, ConnectionRank, final_error_code};
 use persimmon_interfaces::{Access, ErrorCode, Query, Route, Statement};
 use persimmon_types::{Position, Time};
 use persimmon_workspace::ClientKey;
@@ -64,8 +64,6 @@
     pub(crate) workspace: Arc<str>,
     /// The key that identifies it.
     pub(crate) key: ClientKey,
-    /// The version of the table in which the key was found.
-    pub(crate) table_version: u64,
 }
 
 /// A statement to execute.
@@ -75,6 +73,8 @@
     pub(crate) route: Arc<Route>,
     /// The workspace that it belongs to; `None` on a route that needs none.
     pub(crate) caller: Option<&'a Caller>,
+    /// The version of the table by which the route and the workspace were found.
+    pub(crate) table_version: u64,
     /// Access and shape of the prepared statement that it executes, if any.
     pub(crate) shape: Option<&'a Shape>,
     /// The session's variables.
@@ -88,6 +88,8 @@
     pub(crate) fresh_as_of: Time,
     /// Time by which the client must have an answer.
     pub(crate) deadline: Time,
+    /// Time before which it must be sent to an instance, as its quota token expires then.
+    pub(crate) send_by: Option<Time>,
 }
 
 impl<'a> StatementJob<'a> {
@@ -103,9 +105,26 @@
             variables: Some(self.variables),
             shape: self.shape,
             begin: None,
+            rank: None,
         }
     }
 
+    /// Until when its answer meets the objective of the route, which counts from the start of its
+    /// transaction.
+    pub(crate) fn objective_at(&self) -> Time {
+        self.fresh_as_of + self.route.target
+    }
+
+    /// Its rank among the statements that wait for a connection.
+    pub(crate) fn connection_rank(&self) -> ConnectionRank {
+        ConnectionRank { priority: self.route.priority, objective_at: self.objective_at() }
+    }
+
+    /// Whether it may be sent to an instance for the first time at `now`.
+    pub(crate) fn may_send(&self, now: Time) -> bool {
+        self.send_by.is_none_or(|send_by| now < send_by)
+    }
+
     /// Time until which the statement waits for a connection: at most its latency target, so that a
     /// client that is refused can still retry at another daemon.
     pub(crate) fn connection_deadline(&self, now: Time) -> Time {
@@ -113,6 +132,35 @@
     }
 }
 
+/// What the queue of an instance decided about a statement. The names of the variants appear in log
+/// lines and stay the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueueDecision {
+    /// It was sent when there was room.
+    Dispatched,
+    /// It was refused: its answer would have come after its deadline.
+    TooLate,
+    /// It was refused: the queue was full, and others came before it.
+    QueueFull,
+    /// It selected another instance, because this one could not run it any more.
+    InstanceUnavailable,
+}
+
+/// How a statement waited for room at an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QueueReport {
+    /// Its class: the priority of its route.
+    pub(crate) priority: u8,
+    /// Number of statements ahead of it.
+    pub(crate) position: u32,
+    /// Its predicted wait.
+    pub(crate) predicted_wait: Duration,
+    /// How long it waited.
+    pub(crate) waited: Duration,
+    /// What was decided last.
+    pub(crate) decision: QueueDecision,
+}
+
 /// Outcome of a statement, with the details that its log line reports.
 pub(crate) struct Execution {
     /// The instance's answer, or the code with which the proxy refuses the statement.
@@ -136,6 +184,10 @@
     /// Average wait of recent statements at the instance to which admission control did not admit
     /// this one, in milliseconds.
     pub(crate) congestion_ms: Option<f64>,
+    /// How it waited for room at an instance, if it did.
+    pub(crate) queue: Option<QueueReport>,
+    /// Whether it may have been sent to an instance.
+    pub(crate) was_sent: bool,
     /// Whether a sent attempt got no answer, so that it may have run.
     pub(crate) was_lost: bool,
     /// Whether it has waited for admission.
@@ -164,6 +216,8 @@
             after: None,
             failure: None,
             congestion_ms: None,
+            queue: None,
+            was_sent: false,
             was_lost: false,
             was_throttled: false,
             retry_after: RETRY_AFTER,
@@ -182,6 +236,7 @@
     /// The outcome after an earlier attempt that was sent and got no answer.
     pub(crate) fn after_lost_attempt(mut self) -> Self {
         self.was_lost = true;
+        self.was_sent = true;
         self.result = self.result.map_err(|code| final_error_code(code, true));
         self
     }
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -11,27 +11,33 @@
 
 use persimmon_balancing::LatencyBaseline;
 use persimmon_interfaces::{ClientProtocol, InstanceProtocol};
-use persimmon_types::Clock;
+use persimmon_types::{Clock, Time};
+use persimmon_workspace::WorkspaceDirectory;
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::connection::ConnectionUser;
+use crate::dispatcher::Dispatcher;
 use crate::drain::ShutdownSchedule;
-use crate::forwarding::{HeldCount, Links};
+use crate::forwarding::{FrameRoom, HeldCount, Links};
 use crate::logging::LogBudget;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
 use crate::pool::Pool;
 use crate::primaries::PrimaryState;
+use crate::quota::{self, FleetView, Quotas};
 use crate::reachability::Reachability;
 
 use crate::relay::{Relay, RelayedKind};
 use crate::sampling::{LatestSamples, SamplerClients};
 use crate::session;
+use crate::session::registry::Sessions;
 use crate::settings::Settings;
 use crate::snapshot::RoutingSnapshot;
 use crate::socket;
+use crate::table_checks::TableChecks;
 
 /// How often idle connections are checked against their limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -45,10 +51,6 @@
 /// Pause after the listener failed, such as when out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Memory for incomplete messages of clients, in bytes: some of the largest messages, and a fraction
-/// of the smallest host's memory.
-const MAX_INCOMPLETE_BYTES: usize = 16 << 20;
-
 /// Tells the control thread that a statement failed at a primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Suspicion {
@@ -76,6 +78,8 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) client_protocol: Arc<dyn ClientProtocol>,
     pub(crate) pool: Rc<Pool>,
+    /// Statements that wait for room at an instance.
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) primary_states: RefCell<HashMap<Arc<str>, PrimaryState>>,
     /// Latency baseline of each route's statements.
     pub(crate) latency_baselines: RefCell<HashMap<Arc<str>, LatencyBaseline>>,
@@ -93,10 +97,20 @@
     pub(crate) links: Links,
     /// What this daemon holds for others.
     pub(crate) held: HeldCount,
-    /// Memory for incomplete messages of clients.
-    pub(crate) receive_budget: Rc<MemoryBudget>,
+    /// The open sessions.
+    pub(crate) open_sessions: Sessions,
+    /// Memory for messages of clients that are incomplete or whose statements run.
+    pub(crate) message_budget: Rc<MemoryBudget>,
+    /// Memory for statements that other daemons forward.
+    pub(crate) forwarded_budget: Rc<MemoryBudget>,
     /// Memory for the values and prepared statements of sessions.
     pub(crate) state_budget: Rc<MemoryBudget>,
+    /// Checks that the active table is the newest.
+    pub(crate) table_checks: Arc<TableChecks>,
+    /// Room for large frames from other daemons.
+    pub(crate) frame_room: FrameRoom,
+    /// The quotas of workspaces; `None` in a deployment without quotas.
+    pub(crate) quotas: Option<Quotas>,
     relay: Arc<Relay>,
     snapshot: watch::Receiver<Arc<RoutingSnapshot>>,
     suspicions: mpsc::Sender<Suspicion>,
@@ -115,24 +129,33 @@
     pub(crate) peers: Arc<PeerList>,
     pub(crate) samples: Arc<LatestSamples>,
     pub(crate) relay: Arc<Relay>,
+    pub(crate) table_checks: Arc<TableChecks>,
+    pub(crate) fleet: Arc<FleetView>,
 }
 
 impl Worker {
     /// Creates the state of the thread.
     pub(crate) fn new(parts: Parts) -> Self {
+        let limits = parts.settings.client_limits;
         Self {
             pool: Rc::new(Pool::new(
                 parts.instance_protocol,
                 Arc::clone(&parts.metrics),
                 Arc::clone(&parts.peers),
             )),
+            dispatcher: Dispatcher::default(),
             peers: parts.peers,
             samples: parts.samples,
             samplers: SamplerClients::default(),
             links: Links::new(Arc::clone(&parts.metrics)),
             held: HeldCount::default(),
-            receive_budget: Rc::new(MemoryBudget::new(MAX_INCOMPLETE_BYTES)),
+            open_sessions: Sessions::new(limits, Arc::clone(&parts.metrics)),
+            message_budget: Rc::new(MemoryBudget::new(limits.message_bytes)),
+            frame_room: FrameRoom::new(limits.frame_bytes),
+            forwarded_budget: Rc::new(MemoryBudget::new(limits.forwarded_bytes)),
             state_budget: Rc::new(MemoryBudget::new(parts.settings.session_state_total)),
+            table_checks: parts.table_checks,
+            quotas: parts.settings.quota.map(|bounds| Quotas::new(bounds, parts.fleet)),
             relay: parts.relay,
             log: LogBudget::new(Arc::clone(&parts.metrics)),
             settings: parts.settings,
@@ -166,11 +189,17 @@
         Some(Clock.now().since(complete_until))
     }
 
-    /// Waits until the snapshot changes.
-    pub(crate) async fn snapshot_changed(&self) {
-        let mut snapshot = self.snapshot.clone();
-        // The sender is dropped only when the process ends.
-        let _ = snapshot.changed().await;
+    /// A receiver of the snapshots, which changes with each one that follows the present one.
+    pub(crate) fn snapshots(&self) -> watch::Receiver<Arc<RoutingSnapshot>> {
+        let mut snapshots = self.snapshot.clone();
+        snapshots.mark_unchanged();
+        snapshots
+    }
+
+    /// The time until which the active table is known to be the newest; `None` before that was
+    /// proved.
+    pub(crate) fn table_complete_until(&self) -> Option<Time> {
+        self.relay.complete_until(RelayedKind::Table)
     }
 
     /// Connection limit of an instance of a service, over all daemons.
@@ -217,9 +246,19 @@
                     continue;
                 }
             };
+            if accepting.open_sessions.is_full() {
+                let has_room = accepting.open_sessions.make_room(&accepting.log);
+                // A closed session gives its descriptor back on its next turn.
+                tokio::task::yield_now().await;
+                if !has_room {
+                    session::refuse(&accepting, &stream);
+                    continue;
+                }
+            }
             match socket::configure(stream, false) {
                 Ok(io) => {
-                    ntex::rt::spawn(session::serve(Rc::clone(&accepting), io));
+                    let entry = accepting.open_sessions.add(&io);
+                    ntex::rt::spawn(session::serve(Rc::clone(&accepting), io, entry));
                 }
                 Err(err) => tracing::debug!(error = %err, "client connection setup failed"),
             }
@@ -232,6 +271,7 @@
         }
     });
     ntex::rt::spawn(keep_prewarmed(Rc::clone(worker)));
+    ntex::rt::spawn(quota::run(Rc::clone(worker)));
     let sweeping = Rc::clone(worker);
     ntex::rt::spawn(async move {
         loop {
@@ -239,8 +279,10 @@
             let snapshot = sweeping.snapshot();
             let is_listed =
                 |id: &str| snapshot.services.values().flatten().any(|e| &*e.instance.id == id);
-            sweeping.pool.close_idle(Clock.now(), is_listed);
+            let workspaces = snapshot.table.as_ref().and_then(|t| t.workspaces.as_deref());
+            sweeping.pool.close_idle(Clock.now(), is_listed, workspaces);
             sweeping.reachability.retain(is_listed);
+            sweeping.open_sessions.close_overdue(Clock.now(), &sweeping.log);
         }
     });
     Ok(())
@@ -248,20 +290,24 @@
 
 /// Keeps a connection open to each instance as far as the daemon's share allows, so that neither
 /// the first clients nor those of a new primary wait for a handshake.
+///
+/// In a deployment with workspaces, the first connection is the one of the workspace with the
+/// largest quota, which uses it most; samples of positions may use it too. The others are opened as
+/// statements need them.
 async fn keep_prewarmed(worker: Rc<Worker>) {
     loop {
         let snapshot = worker.snapshot();
+        let workspaces = snapshot.table.as_ref().and_then(|t| t.workspaces.as_deref());
+        let largest = workspaces.and_then(WorkspaceDirectory::largest);
+        let user = largest.map_or(ConnectionUser::Any, |w| ConnectionUser::Workspace(&w.name));
         // A connection that belongs to no workspace runs no statement of one.
-        let has_workspaces = snapshot.table.as_ref().is_some_and(|t| t.workspaces.is_some());
+        let has_user = workspaces.is_none() || largest.is_some();
         for listed in snapshot.services.values().flatten() {
-            if has_workspaces
-                || !listed.accepts_work()
-                || !worker.is_sharer(&listed.instance.service)
-            {
+            if !has_user || !listed.accepts_work() || !worker.is_sharer(&listed.instance.service) {
                 continue;
             }
             let max_connections = worker.max_connections(&listed.instance.service);
-            worker.pool.prewarm(&listed.instance, max_connections).await;
+            worker.pool.prewarm(&listed.instance, max_connections, user).await;
         }
         // Jitter, so that daemons that start together do not open connections to an instance
         // together.
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Daemons as separate processes against a fake platform, for the tests of the line protocol.
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+pub mod crowd;
+pub mod keys;
 pub mod owners;
 
 use std::net::SocketAddr;
@@ -22,7 +24,7 @@
     pub cluster: LineCluster,
     /// The daemons.
     pub daemons: Vec<Daemon>,
-    _folder: TempFolder,
+    folder: TempFolder,
 }
 
 /// A temporary folder that is removed when the test succeeds.
@@ -66,12 +68,21 @@
 
 /// Starts daemons in front of a fake platform.
 pub fn setup_on(name: &str, count: usize, cluster: LineCluster) -> Setup {
+    setup_with_limits(name, count, cluster, "")
+}
+
+/// The same with further text for the settings, such as the section `[limits]`.
+pub fn setup_with_limits(name: &str, count: usize, cluster: LineCluster, limits: &str) -> Setup {
     let stores = vec![cluster.store_proxy.address; count];
-    setup_with_stores(name, cluster, stores)
+    start_daemons(name, cluster, stores, limits)
 }
 
 /// Starts daemons in front of a fake platform; each reaches the store at an address of its own.
 pub fn setup_with_stores(name: &str, cluster: LineCluster, stores: Vec<SocketAddr>) -> Setup {
+    start_daemons(name, cluster, stores, "")
+}
+
+fn start_daemons(name: &str, cluster: LineCluster, stores: Vec<SocketAddr>, limits: &str) -> Setup {
     let count = stores.len();
     let folder = TempFolder::new(name);
     let mut daemons: Vec<Daemon> = Vec::new();
@@ -82,13 +93,14 @@
     for (number, (peers, store)) in addresses.iter().zip(stores).enumerate() {
         let name = format!("d{number}");
         let settings = cluster.settings(&name, *peers, seeds).replace(&common, &store.to_string());
+        let settings = format!("{settings}{limits}");
         daemons.push(Daemon::start(&folder.0, &name, &settings).expect("the daemon starts"));
     }
     assert!(
         holds_within(CONDITION_TIMEOUT, || daemons.iter().all(Daemon::is_ready)),
         "a daemon is not ready"
     );
-    Setup { cluster, daemons, _folder: folder }
+    Setup { cluster, daemons, folder }
 }
 
 impl Setup {
@@ -156,6 +168,26 @@
         self.cluster.publish_instances(false);
     }
 
+    /// Kills all daemons and starts them again with the same settings; they listen for clients on
+    /// other ports then, and their logs start anew.
+    pub fn restart_all(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        for number in 0..self.daemons.len() {
+            self.start_again(number);
+        }
+    }
+
+    /// Starts a daemon that has ended again, with the same settings.
+    pub fn start_again(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        let settings = self.folder.0.join(format!("{}.toml", daemon.name));
+        let settings = std::fs::read_to_string(settings).expect("the settings are kept");
+        *daemon = Daemon::start(&self.folder.0, &daemon.name.clone(), &settings)
+            .expect("the daemon starts");
+    }
+
     /// Whether a log line of a daemon satisfies `matches`.
     pub fn has_logged(&self, daemon: usize, matches: impl Fn(&Value) -> bool) -> bool {
         self.daemons[daemon].log_lines().is_ok_and(|lines| lines.iter().any(matches))
