--- a/crates/persimmon-workspace/src/quota/limit.rs
+++ b/crates/persimmon-workspace/src/quota/limit.rs
@@ -22,7 +22,7 @@
 const RANDOM_CAPACITY: (f64, f64) = (6.0, 3.0);
 
 /// Part of the burst that capacity covers at least. Statements that wait for a token get the rest.
-const BURST_PART: f64 = 0.5;
+const BURST_PART: f64 = 0.25;
 
 /// Part of what the bound allows beyond the rate that capacity may use; the rest is for the validity
 /// of tokens and a higher rate. With 0.5, loads of 0.6 of a rate of 2 to 9 a second that came in threes
@@ -31,7 +31,7 @@
 
 /// Part of that rest for the validity of tokens, which saves messages. What is left raises the rate: a
 /// workspace that never exceeds the bound of a window may exceed the rate of its quota for long.
-const VALIDITY_PART: f64 = 0.5;
+const VALIDITY_PART: f64 = 0.3;
 
 /// Part of the slack that lease starts may add: a whole token for each start at a window of 5 s and a
 /// slack of 20.
