--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -277,7 +277,13 @@
 pub(crate) async fn exchange_with_peers(control: Rc<Control>) {
     ntex::rt::spawn(discover_members(Rc::clone(&control)));
     let mut rounds: u32 = 0;
+    let mut logged_count = None;
     loop {
+        let count = control.peers.daemon_count();
+        if count != logged_count {
+            logged_count = count;
+            tracing::info!(daemons = count, "the number of known daemons changed");
+        }
         let is_reachable = control.is_store_reachable() && control.has_directory.get();
         let has_state = control.has_directory.get() && control.table.borrow().table().is_some();
         if !is_reachable && (!has_state || rounds.is_multiple_of(REFRESH_ROUNDS)) {
--- a/crates/persimmon-proxy/src/dispatcher.rs
+++ b/crates/persimmon-proxy/src/dispatcher.rs
@@ -78,7 +78,9 @@
 }
 
 impl Dispatcher {
-    fn has_priorities(&self, table: &Arc<Table>) -> bool {
+    /// Whether the table calls for an order: it has workspaces, which compete for room, and the
+    /// priorities of its routes differ.
+    fn is_order_wanted(&self, table: &Arc<Table>) -> bool {
         let mut known = self.priorities.borrow_mut();
         if let Some((of, differ)) = &*known
             && Arc::ptr_eq(of, table)
@@ -87,7 +89,8 @@
         }
         let mut priorities = table.routes.values().map(|route| route.priority);
         let first = priorities.next();
-        let differ = priorities.any(|priority| Some(priority) != first);
+        let differ =
+            table.workspaces.is_some() && priorities.any(|priority| Some(priority) != first);
         *known = Some((Arc::clone(table), differ));
         differ
     }
@@ -185,12 +188,12 @@
 }
 
 impl Worker {
-    /// Whether statements for an instance wait in order: the priorities of routes differ, and this
-    /// daemon limits its statements in flight there.
+    /// Whether statements for an instance wait in order: the table calls for it, and this daemon limits
+    /// its statements in flight there.
     pub(crate) fn is_ordered(&self, instance: &Instance) -> bool {
-        let has_priorities =
-            self.snapshot().table.as_ref().is_some_and(|t| self.dispatcher.has_priorities(t));
-        if !has_priorities {
+        let is_wanted =
+            self.snapshot().table.as_ref().is_some_and(|t| self.dispatcher.is_order_wanted(t));
+        if !is_wanted {
             return false;
         }
         let service = &instance.service;
