--- a/crates/persimmon-balancing/src/admission.rs
+++ b/crates/persimmon-balancing/src/admission.rs
@@ -19,7 +19,7 @@
 
 use persimmon_types::Time;
 
-use crate::concurrency::{ConcurrencyLimit, Observation, Outcome};
+use crate::concurrency::ConcurrencyLimit;
 
 /// Average wait above which the instance counts as congested: a fraction of the tightest latency
 /// objective of clients, so that a transaction of several statements still meets it.
@@ -263,16 +263,4 @@
         advanced.advance(now);
         advanced.in_flight_limit
     }
-
-    fn record(&mut self, now: Time, observation: &Observation) {
-        match observation.outcome {
-            Outcome::Served | Outcome::Failed => {
-                let took_ms = observation.took.as_secs_f64() * 1_000.0;
-                self.record_wait(now, took_ms - observation.expected.as_secs_f64() * 1_000.0);
-            }
-            Outcome::Rejected => self.record_rejection(now),
-            // The instance or the path to it may have failed, which is no evidence of a wait.
-            Outcome::Unanswered => {}
-        }
-    }
 }
--- a/crates/persimmon-balancing/src/lib.rs
+++ b/crates/persimmon-balancing/src/lib.rs
@@ -21,7 +21,7 @@
 mod workspace_limits;
 
 pub use admission::{Admission, AdmissionController};
-pub use concurrency::{ConcurrencyLimit, Observation, Outcome};
+pub use concurrency::ConcurrencyLimit;
 pub use connection_order::{ConnectionRank, ConnectionWaiters, WaiterId};
 pub use dispatch::{
     DispatchQueue, Dispatched, Forecast, Offer, QueueClass, QueueEntry, QueueRefusal,
--- a/crates/persimmon-proxy/src/client_limits.rs
+++ b/crates/persimmon-proxy/src/client_limits.rs
@@ -11,7 +11,7 @@
 
 use persimmon_types::Time;
 
-/// Memory of a host whose settings name none, in bytes: that of the smallest known ones.
+/// Memory of a host whose settings name none, in bytes: its part for messages is then 16 MiB.
 const DEFAULT_MEMORY: usize = 128 << 20;
 
 /// Least memory that the limits assume, in bytes: some messages of the largest size.
--- a/crates/persimmon-proxy/src/dispatcher.rs
+++ b/crates/persimmon-proxy/src/dispatcher.rs
@@ -71,8 +71,8 @@
     queues: RefCell<HashMap<Arc<str>, InstanceQueue>>,
     /// Whether a task checks the queues.
     is_checking: Cell<bool>,
-    /// Whether the priorities of a table's routes differ, for the last table that was asked about.
-    priorities: RefCell<Option<(Arc<Table>, bool)>>,
+    /// The last table that was asked about, and whether it calls for an order.
+    order_wanted: RefCell<Option<(Arc<Table>, bool)>>,
     /// Mean rate of the quotas of statements, in operations per second.
     mean_quota: Cell<f64>,
 }
@@ -81,18 +81,18 @@
     /// Whether the table calls for an order: it has workspaces, which compete for room, and the
     /// priorities of its routes differ.
     fn is_order_wanted(&self, table: &Arc<Table>) -> bool {
-        let mut known = self.priorities.borrow_mut();
-        if let Some((of, differ)) = &*known
+        let mut known = self.order_wanted.borrow_mut();
+        if let Some((of, is_wanted)) = &*known
             && Arc::ptr_eq(of, table)
         {
-            return *differ;
+            return *is_wanted;
         }
         let mut priorities = table.routes.values().map(|route| route.priority);
         let first = priorities.next();
-        let differ =
+        let is_wanted =
             table.workspaces.is_some() && priorities.any(|priority| Some(priority) != first);
-        *known = Some((Arc::clone(table), differ));
-        differ
+        *known = Some((Arc::clone(table), is_wanted));
+        is_wanted
     }
 
     /// The share of a workspace with a quota of `rate_per_s`, relative to that of others.
--- a/crates/persimmon-proxy/src/table_checks.rs
+++ b/crates/persimmon-proxy/src/table_checks.rs
@@ -11,7 +11,7 @@
 use persimmon_types::Time;
 use tokio::sync::watch;
 
-/// The shortest time between the beginnings of two checks: each costs a call to the store.
+/// The shortest time between the beginnings of two checks: each costs calls to other daemons.
 pub(crate) const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long a session waits for a newer table, or for the proof that there is none: a fraction of the
