--- a/crates/persimmon-workspace/src/quota/coordinator.rs
+++ b/crates/persimmon-workspace/src/quota/coordinator.rs
@@ -8,7 +8,7 @@
 
 use crate::quota::bucket::{Bucket, Supply};
 use crate::quota::fleet::FleetSize;
-use crate::quota::limit::{Bounds, LOAN, Limit};
+use crate::quota::limit::{Bounds, LEASE_TIME, Limit};
 use crate::quota::message::{Answer, Claim, Grant, Request};
 
 /// How often leases take effect and end. Between two such times the fill is constant.
@@ -108,7 +108,7 @@
         }
         self.accrue(now);
         self.update_fill(now);
-        let keep = self.bounds.grant_span() + LOAN;
+        let keep = self.bounds.grant_span() + LEASE_TIME;
         self.leases.retain(|_, lease| lease.end + keep > now);
         self.buckets.retain(|_, bucket| now.since(bucket.used_at) < keep);
     }
@@ -190,10 +190,10 @@
 
     fn lease(&mut self, now: Time, index: u32, claim: Claim, known_size: u32) {
         let stamp = Time::from_micros(claim.stamp);
-        if claim.incarnation != self.incarnation || stamp > now || stamp + LOAN <= now {
+        if claim.incarnation != self.incarnation || stamp > now || stamp + LEASE_TIME <= now {
             return;
         }
-        let end = stamp + LOAN;
+        let end = stamp + LEASE_TIME;
         let new = Lease { end, is_active: false, credited_at: None, known_size };
         let lease = self.leases.entry(index).or_insert(new);
         lease.end = lease.end.max(end);
--- a/crates/persimmon-workspace/src/quota/limit.rs
+++ b/crates/persimmon-workspace/src/quota/limit.rs
@@ -6,7 +6,7 @@
 
 /// How long a share is leased to a coordinator after the coordinator's stamp on which the lease
 /// rests.
-pub const LOAN: Duration = Duration::from_millis(1_200);
+pub const LEASE_TIME: Duration = Duration::from_millis(1_200);
 
 /// The longest time for which a token is valid. Longer ones save few messages.
 pub const MAX_VALIDITY: Duration = Duration::from_secs(2);
@@ -123,7 +123,7 @@
 }
 
 /// The largest number of leases of one member that start within `span` seconds: it starts them at
-/// least [`LOAN`] apart, and each starts within [`LOAN`] of when it was sent.
+/// least [`LEASE_TIME`] apart, and each starts within [`LEASE_TIME`] of when it was sent.
 fn max_lease_starts(span: f64) -> f64 {
-    ((span + LOAN.as_secs_f64()) / LOAN.as_secs_f64()).floor() + 1.0
+    ((span + LEASE_TIME.as_secs_f64()) / LEASE_TIME.as_secs_f64()).floor() + 1.0
 }
--- a/crates/persimmon-workspace/src/quota/member.rs
+++ b/crates/persimmon-workspace/src/quota/member.rs
@@ -9,7 +9,7 @@
 
 use crate::quota::account::{Account, Decision, Token};
 use crate::quota::fleet::FleetSize;
-use crate::quota::limit::{LOAN, Limit};
+use crate::quota::limit::{LEASE_TIME, Limit};
 use crate::quota::message::{Answer, Claim, Request, Want};
 
 /// How often a lease is renewed: twice within its time, so that one lost message does not end it.
@@ -274,8 +274,8 @@
         }
         if self.holder != Some(contact.holder) || now >= self.lease_end {
             // Each start of a lease adds the start credit at a coordinator.
-            let had_pause = self.lease_began.is_none_or(|began| now >= began + LOAN);
-            if now < self.lease_end || now < self.started_at + LOAN || !had_pause {
+            let had_pause = self.lease_began.is_none_or(|began| now >= began + LEASE_TIME);
+            if now < self.lease_end || now < self.started_at + LEASE_TIME || !had_pause {
                 return None;
             }
             self.holder = Some(contact.holder);
@@ -283,7 +283,7 @@
         }
         self.is_releasing = false;
         // The coordinator made the stamp before this daemon received it.
-        self.lease_end = self.lease_end.max(contact.received_at + LOAN);
+        self.lease_end = self.lease_end.max(contact.received_at + LEASE_TIME);
         Some(Claim { incarnation: contact.holder.incarnation, stamp: contact.stamp })
     }
 
@@ -311,7 +311,7 @@
             self.renew_at = now;
         }
         // A first answer has the stamp on which a lease can rest.
-        let is_free = now >= self.lease_end && now >= self.started_at + LOAN;
+        let is_free = now >= self.lease_end && now >= self.started_at + LEASE_TIME;
         if request.claim.is_none() && self.index.is_some() && is_free {
             self.renew_at = now;
         }
--- a/crates/persimmon-workspace/src/quota/mod.rs
+++ b/crates/persimmon-workspace/src/quota/mod.rs
@@ -20,6 +20,6 @@
 pub use account::{Decision, Token};
 pub use coordinator::Coordinator;
 pub use fleet::{FleetRecord, FleetSize};
-pub use limit::{Bounds, LOAN, Limit, MAX_VALIDITY};
+pub use limit::{Bounds, LEASE_TIME, Limit, MAX_VALIDITY};
 pub use member::{Member, WorkspaceState};
 pub use message::{Answer, Claim, Grant, Request, Want};
--- a/crates/persimmon-workspace/tests/quota_parts.rs
+++ b/crates/persimmon-workspace/tests/quota_parts.rs
@@ -7,7 +7,7 @@
 use persimmon_types::Time;
 use persimmon_workspace::Quota;
 use persimmon_workspace::quota::{
-    Answer, Bounds, Claim, Coordinator, Decision, FleetRecord, FleetSize, Grant, LOAN, Limit,
+    Answer, Bounds, Claim, Coordinator, Decision, FleetRecord, FleetSize, Grant, LEASE_TIME, Limit,
     Member, Request, Want,
 };
 use rand::rngs::StdRng;
@@ -60,7 +60,7 @@
         let limit = Limit::new(quota, &bounds);
 
         let span = bounds.window.as_secs_f64() + limit.validity.as_secs_f64();
-        let starts = (span / LOAN.as_secs_f64()).floor() + 2.0;
+        let starts = (span / LEASE_TIME.as_secs_f64()).floor() + 2.0;
         let most = limit.capacity + limit.rate * span + limit.start_credit * starts;
         let bound = bounds.max_operations(quota);
         assert!(most <= bound + 1e-6, "{quota:?} {bounds:?} {limit:?}: {most} of {bound}");
