--- a/review/standin-2/src/cloud.rs
+++ b/review/standin-2/src/cloud.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 
 pub struct Cloud {
     late: Mutex<LateOrders>,
+    /// Whether every call is refused with status 503, which says that nothing was done.
+    is_down: AtomicBool,
     orders: Mutex<Vec<(String, String)>>,
 }
 
@@ -30,13 +33,21 @@
         *self.late.lock().unwrap_or_else(PoisonError::into_inner) = late;
     }
 
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::Relaxed);
+    }
+
     /// The fencing token and the instance of each order so far.
     pub fn orders(&self) -> Vec<(String, String)> {
         self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     pub fn start(group: Arc<Group>, record: Arc<Record>) -> io::Result<(Arc<Self>, SocketAddr)> {
-        let cloud = Arc::new(Self { late: Mutex::default(), orders: Mutex::default() });
+        let cloud = Arc::new(Self {
+            late: Mutex::default(),
+            is_down: AtomicBool::new(false),
+            orders: Mutex::default(),
+        });
         let serving = Arc::clone(&cloud);
         let address = serve(Arc::new(move |request| {
             if request.method != "POST" || request.path != "/promote" {
@@ -47,6 +58,10 @@
             let token: u64 = request.header("Fence-Token").parse().unwrap_or(0);
             let holder = request.header("Duty-Holder").to_owned();
             let text = format!("order to promote {instance} by {holder}, fencing token {token}");
+            if serving.is_down.load(Ordering::Relaxed) {
+                record.line(&format!("{text}: 503, nothing is done"));
+                return Some(Response { status: 503, body: "null".to_owned() });
+            }
             serving
                 .orders
                 .lock()
--- a/review/standin-2/src/daemon.rs
+++ b/review/standin-2/src/daemon.rs
@@ -43,6 +43,8 @@
 /// What the daemons' settings have in common.
 pub struct Deployment {
     pub hosts: Vec<Ipv4Addr>,
+    /// The machines that a daemon contacts first.
+    pub seeds: Vec<Ipv4Addr>,
     pub zones: Vec<&'static str>,
     pub store: SocketAddr,
     pub cloud: SocketAddr,
@@ -55,7 +57,7 @@
         let ip = self.hosts[number];
         let zone = self.zones[number % self.zones.len()];
         let seeds: Vec<String> =
-            self.hosts.iter().take(3).map(|h| format!("\"{h}:{PEER_PORT}\"")).collect();
+            self.seeds.iter().map(|host| format!("\"{host}:{PEER_PORT}\"")).collect();
         let zones: String = self.zones.iter().map(|z| format!("{z} = \"region\"\n")).collect();
         format!(
             "node = \"front-{number}\"\nrole = \"daemon\"\nclass = \"front\"\n\
@@ -79,11 +81,10 @@
         )
     }
 
-    /// Starts every daemon, and waits until all are ready.
-    pub fn start(&self, folder: &Path) -> io::Result<Vec<Daemon>> {
-        let count = 0..self.hosts.len();
+    /// Starts the daemons with these numbers, and waits until all are ready.
+    pub fn start(&self, folder: &Path, numbers: &[usize]) -> io::Result<Vec<Daemon>> {
         let daemons: Vec<Daemon> =
-            count.map(|n| self.start_one(folder, n)).collect::<io::Result<_>>()?;
+            numbers.iter().map(|n| self.start_one(folder, *n)).collect::<io::Result<_>>()?;
         let deadline = Instant::now() + Duration::from_secs(15);
         while !daemons.iter().all(Daemon::is_ready) {
             if Instant::now() > deadline {
@@ -95,7 +96,7 @@
     }
 
     /// Starts one daemon with the command of the deploy file.
-    pub fn start_one(&self, folder: &Path, number: usize) -> io::Result<Daemon> {
+    fn start_one(&self, folder: &Path, number: usize) -> io::Result<Daemon> {
         let name = format!("front-{number}");
         let boot = folder.join(format!("{name}.toml"));
         std::fs::write(&boot, self.settings(number))?;
--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -2,6 +2,7 @@
 //! a commit once `sync_replicas` replicas have received it.
 
 use std::collections::HashMap;
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -34,6 +35,18 @@
     /// The network brings it nothing from the primary.
     pub is_deaf: bool,
     pub log: Vec<Arc<Commit>>,
+    /// Its open connections.
+    streams: Vec<TcpStream>,
+}
+
+impl Member {
+    fn stop(&mut self) {
+        self.is_up = false;
+        for stream in self.streams.drain(..) {
+            // It fails if the other end has closed the connection.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
 }
 
 /// A promotion that took effect.
@@ -127,6 +140,7 @@
             is_paused: false,
             is_deaf: false,
             log,
+            streams: Vec::new(),
         });
         let index = state.members.len() - 1;
         self.record.line(&format!("instance {id} starts"));
@@ -158,16 +172,46 @@
         self.report(&state, index);
     }
 
-    /// The instance ends.
+    /// The instance ends, and its entry is removed.
     pub fn end(&self, index: usize) {
         let mut state = self.lock();
-        state.members[index].is_up = false;
+        state.members[index].stop();
         self.record.line(&format!("instance {} ends", state.members[index].id));
         self.report(&state, index);
         drop(state);
         self.changed.notify_all();
     }
 
+    /// The instance's process crashes; its entry stays until it has missed three heartbeats.
+    pub fn crash(&self, index: usize) {
+        let mut state = self.lock();
+        state.members[index].stop();
+        self.record.line(&format!("instance {} crashes", state.members[index].id));
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// A crashed instance starts again with its log, as a replica if another one was promoted.
+    pub fn restart(&self, index: usize) {
+        let mut state = self.lock();
+        state.members[index].is_up = true;
+        state.members[index].is_paused = false;
+        let role = if state.primary == Some(index) { "primary" } else { "replica" };
+        self.record.line(&format!("instance {} is back as {role}", state.members[index].id));
+        self.report(&state, index);
+    }
+
+    /// Registers a connection, which ends with the instance; returns whether the instance runs.
+    pub fn connect(&self, index: usize, stream: TcpStream) -> bool {
+        let mut state = self.lock();
+        let member = &mut state.members[index];
+        member.streams.retain(|stream| stream.peer_addr().is_ok());
+        if member.is_up {
+            member.streams.push(stream);
+        }
+        member.is_up
+    }
+
     /// Sets whether a replica receives nothing.
     pub fn set_deaf(&self, index: usize, is_deaf: bool) {
         let mut state = self.lock();
--- a/review/standin-2/src/instance.rs
+++ b/review/standin-2/src/instance.rs
@@ -94,14 +94,14 @@
 
     fn serve(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        if !self.group.connect(self.index, stream.try_clone()?) {
+            return Ok(());
+        }
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let mut out = stream.try_clone()?;
         let Some(first) = lines.next().transpose()? else {
             return Ok(());
         };
-        if !self.is_up() {
-            return Ok(());
-        }
         let words: Vec<&str> = first.trim_end().split(' ').collect();
         let is_right = words.len() >= 3
             && words[0] == "STARTUP"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod group;
 mod http;
 mod instance;
+mod quota_cases;
 mod record;
 mod store;
 mod sync_cases;
@@ -35,6 +36,8 @@
     let folder = PathBuf::from(folder);
     let broken = match case.as_str() {
         "replacement" => sync_cases::replacement(&folder, &record, has_trouble),
+        "paused" => sync_cases::paused(&folder, &record, has_trouble),
+        "replaced-machines" => quota_cases::replaced_machines(&folder, &record, has_trouble),
         "late-order" => sync_cases::late_order(&folder, &record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-2/src/sync_cases.rs
+++ b/review/standin-2/src/sync_cases.rs
@@ -42,10 +42,13 @@
     group: Arc<Group>,
     cloud: Arc<Cloud>,
     record: Arc<Record>,
+    deployment: Deployment,
     daemons: Vec<Daemon>,
     is_over: Arc<AtomicBool>,
     /// When each write was answered with success.
     successes: Arc<Mutex<HashMap<String, Instant>>>,
+    /// When each write was sent.
+    sent: Arc<Mutex<HashMap<String, Instant>>>,
     writers: Vec<JoinHandle<()>>,
 }
 
@@ -76,14 +79,16 @@
         }),
     );
     let (cloud, cloud_address) = Cloud::start(Arc::clone(&group), Arc::clone(record))?;
+    let hosts = hosts(3);
     let deployment = Deployment {
-        hosts: hosts(3),
+        seeds: hosts.clone(),
+        hosts,
         zones: ZONES.to_vec(),
         store: store_address,
         cloud: cloud_address,
         more_bounds: String::new(),
     };
-    let daemons = deployment.start(folder)?;
+    let daemons = deployment.start(folder, &[0, 1, 2])?;
     for daemon in &daemons {
         record.line(&format!("{} runs as process {}", daemon.name, daemon.id()));
     }
@@ -91,9 +96,11 @@
         group,
         cloud,
         record: Arc::clone(record),
+        deployment,
         daemons,
         is_over: Arc::default(),
         successes: Arc::default(),
+        sent: Arc::default(),
         writers: Vec::new(),
     };
     for number in 0..WRITERS {
@@ -109,6 +116,7 @@
         let record = Arc::clone(&self.record);
         let is_over = Arc::clone(&self.is_over);
         let successes = Arc::clone(&self.successes);
+        let sent = Arc::clone(&self.sent);
         self.writers.push(std::thread::spawn(move || {
             let mut session = None;
             while !is_over.load(Ordering::Relaxed) {
@@ -122,6 +130,9 @@
                 };
                 let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
                 record.line(&format!("sent {id}"));
+                sent.lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .insert(id.clone(), Instant::now());
                 match client.query(&id, &format!("WRITE a{number} d{id}")) {
                     Ok(answer) => {
                         record.line(&format!("answered {id} {:?}", answer.result));
@@ -137,6 +148,15 @@
         }));
     }
 
+    /// How many writes were sent between two times, and how many of them were served.
+    fn served(&self, from: Instant, until: Instant) -> (usize, usize) {
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let successes = self.successes.lock().unwrap_or_else(PoisonError::into_inner);
+        let asked: Vec<&String> =
+            sent.iter().filter(|(_, at)| from <= **at && **at < until).map(|(id, _)| id).collect();
+        (asked.len(), asked.iter().filter(|id| successes.contains_key(**id)).count())
+    }
+
     fn pass(&self, time: Duration) {
         std::thread::sleep(time);
     }
@@ -280,3 +300,54 @@
     setup.pass(Duration::from_secs(4));
     setup.finish()
 }
+
+/// The primary crashes and is back after 3 s, while the API for promotions is down; a moment later all
+/// daemons are killed and started again. `TROUBLE=0` leaves the crash and the outage out; the daemons
+/// are killed all the same.
+pub fn paused(folder: &Path, record: &Arc<Record>, has_trouble: bool) -> io::Result<Vec<String>> {
+    const DOWN_FOR: Duration = Duration::from_secs(2);
+    const RECOVERY: Duration = Duration::from_secs(12);
+    let mut setup = start(folder, record)?;
+    let began = Instant::now();
+    setup.pass(Duration::from_secs(5));
+    setup.cloud.set_down(has_trouble);
+    if has_trouble {
+        setup.group.crash(0);
+    }
+    setup.pass(Duration::from_secs(3));
+    if has_trouble {
+        setup.group.restart(0);
+    }
+    setup.pass(Duration::from_millis(500));
+    let fault = Instant::now();
+    record.line("all daemons are killed");
+    for daemon in &mut setup.daemons {
+        daemon.kill();
+    }
+    setup.pass(DOWN_FOR);
+    setup.cloud.set_down(false);
+    setup.daemons = setup.deployment.start(folder, &[0, 1, 2])?;
+    let back = Instant::now();
+    record.line("all daemons are back");
+    setup.pass(RECOVERY);
+    let from = Instant::now();
+    setup.pass(Duration::from_secs(12));
+    let until = Instant::now();
+    // The last answers.
+    setup.pass(DEADLINE);
+    let (before, served_before) = setup.served(began, fault);
+    let (after, served_after) = setup.served(from, until);
+    record.line(&format!(
+        "before the fault {served_before} of {before} writes were served; of those sent later than \
+         {:.1} s after the daemons were back, {served_after} of {after}",
+        from.duration_since(back).as_secs_f64()
+    ));
+    if served_before * 4 < before || after < 20 {
+        return Err(io::Error::other("too little was sent or served to judge"));
+    }
+    let mut broken = setup.finish()?;
+    if served_after * 4 < after {
+        broken.push(format!("RECOVER: {served_after} of {after} writes were served"));
+    }
+    Ok(broken)
+}
