Lab: synchronous replication, late promotion requests and instances that join

The fakes acknowledged every commit at once, so that no test of ours could see a lost one. A group has a number of replicas that must have received a commit before it is acknowledged, carries out PAUSE, DEMOTE and RESUME as the protocol says, and records each acknowledged commit that a promotion discards. Instances can be added while a group runs. The promotion API can be unavailable, and carries out requests late, also after their caller has given up; accepted promotions take effect in order instead of replacing each other.

--- a/crates/persimmon-lab/src/line_cluster/group.rs
+++ b/crates/persimmon-lab/src/line_cluster/group.rs
@@ -1,6 +1,7 @@
 //! The state of one database group: its log, and how much of the log each instance has received.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::ops::Range;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,8 @@
     pub slots: usize,
     /// Maximum number of connections that an instance accepts.
     pub max_connections: usize,
+    /// Number of replicas that must have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
 }
 
 impl Default for InstanceProfile {
@@ -29,6 +32,7 @@
             promotion_delay: Duration::from_millis(300),
             slots: 5,
             max_connections: 60,
+            sync_replicas: 0,
         }
     }
 }
@@ -40,6 +44,7 @@
     item: String,
     data: String,
     at: Instant,
+    is_acknowledged: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -49,10 +54,30 @@
     /// Number of entries applied as primary; they stay applied after it loses the primary role.
     applied_as_primary: usize,
     is_up: bool,
+    /// Whether the network brings it nothing from the primary.
     is_replication_paused: bool,
+    /// Whether a command has stopped it from receiving.
+    is_stopped: bool,
     born: u64,
 }
 
+impl InstanceState {
+    fn new(received: usize) -> Self {
+        Self {
+            received,
+            applied_as_primary: 0,
+            is_up: true,
+            is_replication_paused: false,
+            is_stopped: false,
+            born: 1,
+        }
+    }
+
+    fn receives(&self) -> bool {
+        self.is_up && !self.is_replication_paused && !self.is_stopped
+    }
+}
+
 #[derive(Debug)]
 struct State {
     term: u64,
@@ -62,7 +87,8 @@
     rolled_back: HashSet<String>,
     committed: HashMap<String, u32>,
     reported_not_kept: HashSet<String>,
-    promotion: Option<(Instant, usize)>,
+    /// The accepted promotions that have not taken effect, in order, and when they will.
+    promotions: VecDeque<(Instant, usize)>,
     /// When each request of a client first reached an instance, by the request's id.
     first_reached: HashMap<String, Instant>,
     violations: Vec<String>,
@@ -80,6 +106,20 @@
     state: Mutex<State>,
 }
 
+/// How often a commit that waits for replicas checks whether they have received it.
+const ACKNOWLEDGEMENT_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// The outcome of a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommitOutcome {
+    /// The commit is acknowledged.
+    Committed,
+    /// The instance is not the primary; nothing was written.
+    NotPrimary,
+    /// The instance lost the primary role before the commit was acknowledged.
+    Unknown,
+}
+
 /// The role and log positions of an instance at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct InstanceView {
@@ -94,13 +134,6 @@
     /// Creates a group whose first instance is the primary of term 1.
     #[must_use]
     pub fn new(name: &str, instances: usize, profile: InstanceProfile) -> Self {
-        let instance = InstanceState {
-            received: 0,
-            applied_as_primary: 0,
-            is_up: true,
-            is_replication_paused: false,
-            born: 1,
-        };
         Self {
             name: name.to_owned(),
             profile,
@@ -109,11 +142,11 @@
                 term: 1,
                 primary: Some(0),
                 log: Vec::new(),
-                instances: vec![instance; instances],
+                instances: vec![InstanceState::new(0); instances],
                 rolled_back: HashSet::new(),
                 committed: HashMap::new(),
                 reported_not_kept: HashSet::new(),
-                promotion: None,
+                promotions: VecDeque::new(),
                 first_reached: HashMap::new(),
                 violations: Vec::new(),
             }),
@@ -122,15 +155,22 @@
 
     fn lock(&self) -> MutexGuard<'_, State> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((at, instance)) = state.promotion
-            && Instant::now() >= at
-        {
-            state.promotion = None;
-            promote(&mut state, instance);
+        let now = Instant::now();
+        while let Some((_, instance)) = state.promotions.pop_front_if(|(at, _)| *at <= now) {
+            state.promote(&self.name, self.profile.sync_replicas > 0, instance);
         }
         state
     }
 
+    /// Adds a replica that starts with a copy of the primary's log; returns its number.
+    pub(crate) fn add_instance(&self) -> usize {
+        let mut state = self.lock();
+        let is_primary_up = state.primary.is_some_and(|p| state.instances[p].is_up);
+        let received = if is_primary_up { state.log.len() } else { 0 };
+        state.instances.push(InstanceState::new(received));
+        state.instances.len() - 1
+    }
+
     /// Whether an instance's process runs.
     #[must_use]
     pub fn is_up(&self, instance: usize) -> bool {
@@ -166,16 +206,44 @@
         state.instances[instance].is_up = is_up;
         if is_up {
             state.instances[instance].born += 1;
+            state.instances[instance].is_stopped = false;
+            state.replicate();
         }
     }
 
-    /// Pauses replication to a replica, or resumes it and lets the replica catch up.
+    /// Interrupts replication to a replica, or restores it and lets the replica catch up.
     pub fn set_replication_paused(&self, instance: usize, is_replication_paused: bool) {
         let mut state = self.lock();
         state.instances[instance].is_replication_paused = is_replication_paused;
-        let length = state.log.len();
-        if !is_replication_paused && state.primary.is_some_and(|p| state.instances[p].is_up) {
-            state.instances[instance].received = length;
+        state.replicate();
+    }
+
+    /// Stops a replica from receiving, if `term` is above the newest one.
+    pub(crate) fn stop_replication(&self, instance: usize, term: u64) {
+        let mut state = self.lock();
+        if term > state.term && state.primary != Some(instance) {
+            state.instances[instance].is_stopped = true;
+        }
+    }
+
+    /// Lets a replica receive again.
+    pub(crate) fn resume_replication(&self, instance: usize) {
+        let mut state = self.lock();
+        state.instances[instance].is_stopped = false;
+        state.replicate();
+    }
+
+    /// Whether a command has stopped an instance from receiving.
+    #[must_use]
+    pub fn is_stopped(&self, instance: usize) -> bool {
+        self.lock().instances[instance].is_stopped
+    }
+
+    /// Makes the primary of a lower term than `term` a replica.
+    pub(crate) fn demote(&self, instance: usize, term: u64) {
+        let mut state = self.lock();
+        if state.primary == Some(instance) && state.term < term {
+            state.retire_primary();
         }
     }
 
@@ -187,7 +255,8 @@
             return false;
         }
         if state.primary != Some(instance) {
-            state.promotion = Some((Instant::now() + self.profile.promotion_delay, instance));
+            let at = Instant::now() + self.profile.promotion_delay;
+            state.promotions.push_back((at, instance));
         }
         true
     }
@@ -235,17 +304,18 @@
         Some(entry.map_or_else(|| "-".to_owned(), |e| e.data.clone()))
     }
 
-    /// Appends writes if the instance is still the primary of the term; returns whether it did.
+    /// Appends writes if the instance is still the primary of the term, and waits until enough
+    /// replicas have received them.
     pub(crate) fn commit(
         &self,
         instance: usize,
         term: u64,
         writes: &[(String, String, String)],
-    ) -> bool {
+    ) -> CommitOutcome {
         let mut state = self.lock();
         if state.primary != Some(instance) || state.term != term || !state.instances[instance].is_up
         {
-            return false;
+            return CommitOutcome::NotPrimary;
         }
         for (id, item, data) in writes {
             let runs = state.committed.entry(id.clone()).or_default();
@@ -260,16 +330,39 @@
                 state.violations.push(violation);
             }
             let (id, item, data) = (id.clone(), item.clone(), data.clone());
-            let entry = LogEntry { term, id, item, data, at: Instant::now() };
+            let entry =
+                LogEntry { term, id, item, data, at: Instant::now(), is_acknowledged: false };
             state.log.push(entry);
         }
-        let length = state.log.len();
-        for (index, other) in state.instances.iter_mut().enumerate() {
-            if index == instance || (other.is_up && !other.is_replication_paused) {
-                other.received = length;
+        state.replicate();
+        let end = state.log.len();
+        drop(state);
+        self.acknowledge(instance, term, end - writes.len()..end)
+    }
+
+    /// Waits until enough replicas have received these entries.
+    fn acknowledge(&self, instance: usize, term: u64, entries: Range<usize>) -> CommitOutcome {
+        loop {
+            let mut state = self.lock();
+            if state.primary != Some(instance)
+                || state.term != term
+                || !state.instances[instance].is_up
+            {
+                return CommitOutcome::Unknown;
             }
+            let has_received = |(index, i): &(usize, &InstanceState)| {
+                *index != instance && i.received >= entries.end
+            };
+            let received = state.instances.iter().enumerate().filter(has_received).count();
+            if received >= self.profile.sync_replicas {
+                for entry in &mut state.log[entries] {
+                    entry.is_acknowledged = true;
+                }
+                return CommitOutcome::Committed;
+            }
+            drop(state);
+            std::thread::sleep(ACKNOWLEDGEMENT_POLL_INTERVAL);
         }
-        true
     }
 
     /// Records that a client was told that a request had no effect.
@@ -323,30 +416,57 @@
     }
 }
 
-fn promote(state: &mut State, instance: usize) {
-    if !state.instances[instance].is_up || state.primary == Some(instance) {
-        return;
-    }
-    if let Some(old) = state.primary {
-        state.instances[old].received = state.log.len();
-        state.instances[old].applied_as_primary = state.log.len();
-    }
-    let received = state.instances[instance].received;
-    let discarded: Vec<LogEntry> = state.log.drain(received..).collect();
-    for entry in discarded {
-        // A client sends a request again under the same id only after it was told that the request
-        // had no effect; otherwise the retry gets a new id.
-        state.committed.remove(&entry.id);
-        state.rolled_back.insert(entry.data);
-        debug_assert!(entry.term <= state.term, "terms only rise");
-    }
-    state.term += 1;
-    state.primary = Some(instance);
-    for other in &mut state.instances {
-        other.received = other.received.min(received);
-        other.applied_as_primary = other.applied_as_primary.min(received);
-        if other.is_up && !other.is_replication_paused {
-            other.received = received;
+impl State {
+    /// Brings every replica that receives up to the primary's log.
+    fn replicate(&mut self) {
+        let Some(primary) = self.primary.filter(|p| self.instances[*p].is_up) else {
+            return;
+        };
+        let length = self.log.len();
+        for (index, instance) in self.instances.iter_mut().enumerate() {
+            if index == primary || instance.receives() {
+                instance.received = length;
+            }
+        }
+    }
+
+    /// Makes the primary a replica that has the whole log.
+    fn retire_primary(&mut self) {
+        let Some(old) = self.primary.take() else {
+            return;
+        };
+        self.instances[old].received = self.log.len();
+        self.instances[old].applied_as_primary = self.log.len();
+    }
+
+    fn promote(&mut self, service: &str, is_synchronous: bool, instance: usize) {
+        if !self.instances[instance].is_up || self.primary == Some(instance) {
+            return;
+        }
+        self.retire_primary();
+        let received = self.instances[instance].received;
+        let discarded: Vec<LogEntry> = self.log.drain(received..).collect();
+        self.term += 1;
+        for entry in discarded {
+            if is_synchronous && entry.is_acknowledged {
+                self.violations.push(format!(
+                    "{service}: instance {instance} was promoted to term {} without the \
+                     acknowledged commit {}",
+                    self.term, entry.id
+                ));
+            }
+            // A client sends a request again under the same id only after it was told that the
+            // request had no effect; otherwise the retry gets a new id.
+            self.committed.remove(&entry.id);
+            self.rolled_back.insert(entry.data);
+            debug_assert!(entry.term < self.term, "terms only rise");
+        }
+        self.primary = Some(instance);
+        for other in &mut self.instances {
+            other.received = other.received.min(received);
+            other.applied_as_primary = other.applied_as_primary.min(received);
+            other.is_stopped = false;
         }
+        self.replicate();
     }
 }
--- a/crates/persimmon-lab/src/line_cluster/instance.rs
+++ b/crates/persimmon-lab/src/line_cluster/instance.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use crate::line_cluster::group::{Group, InstanceView};
+use crate::line_cluster::group::{CommitOutcome, Group, InstanceView};
 
 /// Semaphore that limits the number of concurrent statements.
 #[derive(Debug, Default)]
@@ -169,7 +169,8 @@
         write!(out, "{}", session.ready())?;
         for line in lines {
             let response = session.handle_line(line?.trim_end_matches('\r'));
-            if self.state.loses_responses.load(Ordering::Relaxed) && session.has_run {
+            let is_lost = self.state.loses_responses.load(Ordering::Relaxed) && session.has_run;
+            if is_lost || session.is_outcome_unknown {
                 return Ok(());
             }
             out.write_all(response.as_bytes())?;
@@ -211,6 +212,8 @@
     prepared: HashMap<String, (bool, String)>,
     tx: Option<Tx>,
     has_run: bool,
+    /// Whether the outcome of a commit is unknown, so that no answer is sent.
+    is_outcome_unknown: bool,
     signatures: u64,
 }
 
@@ -226,6 +229,7 @@
             prepared: HashMap::new(),
             tx: None,
             has_run: false,
+            is_outcome_unknown: false,
             signatures: 0,
         }
     }
@@ -326,12 +330,17 @@
                 }
             }
             ("STATUS", _) => Ok((vec![self.status()], None)),
-            ("PAUSE", _) => {
-                self.server.group.set_replication_paused(self.server.index, true);
+            ("PAUSE", [term]) => {
+                let term = term.parse().unwrap_or(0);
+                self.server.group.stop_replication(self.server.index, term);
                 Ok((vec![self.status()], None))
             }
             ("RESUME", _) => {
-                self.server.group.set_replication_paused(self.server.index, false);
+                self.server.group.resume_replication(self.server.index);
+                Ok((vec![self.status()], None))
+            }
+            ("DEMOTE", [term]) => {
+                self.server.group.demote(self.server.index, term.parse().unwrap_or(0));
                 Ok((vec![self.status()], None))
             }
             _ => Err(("MALFORMED", text.to_owned())),
@@ -440,14 +449,21 @@
             tx.writes.push(write);
             return Ok((Vec::new(), self.next_signature()));
         }
+        self.run_commit(view.term, std::slice::from_ref(&write))
+    }
+
+    /// Commits writes. An instance that cannot tell whether they stay closes the connection.
+    fn run_commit(&mut self, term: u64, writes: &[(String, String, String)]) -> StatementResult {
         let server = self.server;
-        let is_committed = server.run_in_slot(|| {
-            server.group.commit(server.index, view.term, std::slice::from_ref(&write))
-        });
-        if is_committed {
-            Ok((Vec::new(), self.next_signature()))
-        } else {
-            Err(("READONLY", self.id.clone()))
+        // A commit that waits for replicas occupies no slot.
+        server.run_in_slot(|| ());
+        match server.group.commit(server.index, term, writes) {
+            CommitOutcome::Committed => Ok((Vec::new(), self.next_signature())),
+            CommitOutcome::NotPrimary => Err(("READONLY", self.id.clone())),
+            CommitOutcome::Unknown => {
+                self.is_outcome_unknown = true;
+                Err(("FAILED", self.id.clone()))
+            }
         }
     }
 
@@ -458,13 +474,6 @@
         if tx.writes.is_empty() {
             return Ok((Vec::new(), self.next_signature()));
         }
-        let server = self.server;
-        let is_committed =
-            server.run_in_slot(|| server.group.commit(server.index, tx.term, &tx.writes));
-        if is_committed {
-            Ok((Vec::new(), self.next_signature()))
-        } else {
-            Err(("READONLY", self.id.clone()))
-        }
+        self.run_commit(tx.term, &tx.writes)
     }
 }
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -45,6 +45,15 @@
     pub proxy: FaultProxy,
 }
 
+impl ProxiedInstance {
+    fn start(group: &Arc<Group>, group_number: usize, index: usize) -> io::Result<Self> {
+        let id = format!("i-{group_number}-{index}");
+        let server = InstanceServer::start(Arc::clone(group), index, &id)?;
+        let proxy = FaultProxy::start(server.address)?;
+        Ok(Self { id, server, proxy })
+    }
+}
+
 /// An object store, and database groups whose instances are registered in it.
 #[derive(Debug)]
 pub struct LineCluster {
@@ -91,10 +100,7 @@
             store.add_group(Arc::clone(&group));
             let mut instances = Vec::new();
             for index in 0..instance_count {
-                let id = format!("i-{number}-{index}");
-                let server = InstanceServer::start(Arc::clone(&group), index, &id)?;
-                let proxy = FaultProxy::start(server.address)?;
-                instances.push(ProxiedInstance { id, server, proxy });
+                instances.push(ProxiedInstance::start(&group, number, index)?);
             }
             started.push((group, instances));
         }
@@ -167,6 +173,19 @@
         self
     }
 
+    /// Starts another replica of a group with a copy of the primary's log; returns its number. The
+    /// next call that publishes the instances writes its entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub fn add_instance(&mut self, group_number: usize) -> io::Result<usize> {
+        let (group, instances) = &mut self.groups[group_number];
+        let index = group.add_instance();
+        instances.push(ProxiedInstance::start(group, group_number, index)?);
+        Ok(index)
+    }
+
     /// Writes every instance's current entry to the store and removes those of stopped instances.
     ///
     /// With `first_is_draining`, the first instance of each group is entered as draining.
@@ -245,7 +264,8 @@
                 routes.push(route_json(&format!("{prefix}{number}"), route_type, &group.name));
             }
             services.push(json!({
-                "name": group.name, "max_conns": self.max_connections, "sync_replicas": 0,
+                "name": group.name, "max_conns": self.max_connections,
+                "sync_replicas": group.profile.sync_replicas,
             }));
         }
         for (database, service) in extra_routes {
--- a/crates/persimmon-lab/src/line_cluster/store.rs
+++ b/crates/persimmon-lab/src/line_cluster/store.rs
@@ -1,5 +1,7 @@
 //! The object store and the promotion API, over HTTP.
 
+mod promotion;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -8,12 +10,13 @@
 
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::rt::{DefaultRuntime, System};
-use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use ntex::web::{self, App, HttpResponse, HttpServer};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
 use crate::line_cluster::group::Group;
+use crate::line_cluster::store::promotion::{LatePromotions, promote};
 
 /// The header of every answer that counts how often the store was restored from a copy.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
@@ -30,6 +33,8 @@
     pub loses_responses: bool,
     /// Promotions are carried out but get no response.
     pub loses_promotion_responses: bool,
+    /// Promotions are refused with status 503; nothing is done.
+    pub is_promotion_unavailable: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +64,9 @@
     page_size: Option<usize>,
     groups: Vec<Arc<Group>>,
     fencing_tokens: HashMap<String, (u64, String)>,
+    /// The instances of the promotion requests received so far.
+    requested_promotions: Vec<String>,
+    late_promotions: LatePromotions,
     faults: StoreFaults,
     calls: u64,
     waiting_watches: usize,
@@ -339,43 +347,6 @@
         let stored = self.lock().objects.get(&key).cloned();
         HttpResponse::Ok().json(&stored.map(|o| object_json(name, &o)))
     }
-
-    async fn promote(
-        &self,
-        req: PromotionRequest,
-        coordinator: String,
-        fencing_token: u64,
-    ) -> HttpResponse {
-        let loses_response = {
-            let mut state = self.lock();
-            state.calls += 1;
-            let (last_token, last_coordinator) =
-                state.fencing_tokens.get(&req.service).cloned().unwrap_or((0, coordinator.clone()));
-            if fencing_token < last_token {
-                return HttpResponse::Conflict().finish();
-            }
-            if fencing_token == last_token && last_coordinator != coordinator {
-                let violation = format!(
-                    "{last_coordinator} and {coordinator} share fencing token {fencing_token}"
-                );
-                state.violations.push(violation);
-            }
-            state.fencing_tokens.insert(req.service.clone(), (fencing_token, coordinator));
-            let group = state.groups.iter().find(|g| g.name == req.service).cloned();
-            let instance = req.id.rsplit('-').next().and_then(|n| n.parse().ok());
-            let (Some(group), Some(instance)) = (group, instance) else {
-                return HttpResponse::NotFound().finish();
-            };
-            if !group.schedule_promotion(instance) {
-                return HttpResponse::Conflict().finish();
-            }
-            state.faults.loses_promotion_responses
-        };
-        if loses_response {
-            std::future::pending::<()>().await;
-        }
-        HttpResponse::Ok().finish()
-    }
 }
 
 /// Counts a watch as waiting until dropped.
@@ -413,12 +384,6 @@
     spec: Value,
 }
 
-#[derive(Deserialize)]
-struct PromotionRequest {
-    service: String,
-    id: String,
-}
-
 /// Lists or watches the objects of a kind.
 #[web::get("/objects/{kind}")]
 async fn list(
@@ -476,17 +441,3 @@
     let res = store.write(&kind, &name, meta.rev, spec).await;
     store.with_era(res)
 }
-
-/// Requests a promotion.
-#[web::post("/promote")]
-async fn promote(
-    store: web::types::State<Store>,
-    req: HttpRequest,
-    promotion: web::types::Json<PromotionRequest>,
-) -> HttpResponse {
-    let header = |name: &str| {
-        req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
-    };
-    let fencing_token = header("Fence-Token").parse().unwrap_or(0);
-    store.promote(promotion.into_inner(), header("Duty-Holder"), fencing_token).await
-}
