--- a/crates/persimmon-proxy/src/control/mod.rs
+++ b/crates/persimmon-proxy/src/control/mod.rs
@@ -8,6 +8,8 @@
 mod peers;
 mod probe;
 mod promotion;
+mod promotion_lock;
+mod replication;
 mod view;
 
 use std::cell::{Cell, RefCell};
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -6,23 +6,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{
-    Object, ObjectKind, PromoteError, PromotionRequest, ReadResult, Role, StoreError,
-};
-use persimmon_promotion::{
-    Action, Asked, Input, PrimaryInfo, PromotionCoordinator, PromotionLockRecord,
-};
-use persimmon_types::{Clock, Term, Time};
+use persimmon_interfaces::{PromoteError, PromotionRequest};
+use persimmon_promotion::{Action, Input, PrimaryInfo, PromotionCoordinator};
+use persimmon_types::{Clock, Time};
 use rand::Rng;
-use serde::Deserialize;
 use tokio::sync::mpsc;
 
 use crate::control::Control;
 use crate::control::peers;
 use crate::control::probe::ProbeConnections;
-use crate::control::view;
+use crate::control::promotion_lock::{acquire_lock, announce_promotion};
+use crate::control::replication::query_instances;
 use crate::metrics::Metrics;
-use crate::snapshot::DirectoryEntry;
 use crate::traffic::Suspicion;
 
 /// How often coordinators are driven by the clock.
@@ -36,25 +31,21 @@
 /// draw from the rest.
 const CANDIDATE_STAGGER_PART: f64 = 0.3;
 
-/// How long the promotion lock is not taken over after another daemon acquired it or requested a
-/// promotion, so that its request can take effect.
-const PROMOTION_GRACE_MS: u64 = 2_500;
-
 /// Shortest interval between two attempts to acquire a promotion lock again after a restore.
 const LOCK_RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Shortest interval between two reports of suspicions of one service's primary.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-struct RunningCoordinator {
-    coordinator: RefCell<PromotionCoordinator>,
-    probes: ProbeConnections,
-    service: Arc<str>,
+pub(super) struct RunningCoordinator {
+    pub(super) coordinator: RefCell<PromotionCoordinator>,
+    pub(super) probes: ProbeConnections,
+    pub(super) service: Arc<str>,
     /// When a suspicion was last reported to the daemons that may hold the promotion lock.
     reported_at: Cell<Time>,
     /// The store's era in which this daemon last acquired the promotion lock, or lost it to
     /// another.
-    lock_era: Cell<u64>,
+    pub(super) lock_era: Cell<u64>,
     /// When the promotion lock may next be acquired again after a restore of the store.
     renewal_at: Cell<Time>,
 }
@@ -183,7 +174,7 @@
     });
 }
 
-fn primary_info(control: &Control, service: &str) -> PrimaryInfo {
+pub(super) fn primary_info(control: &Control, service: &str) -> PrimaryInfo {
     let snapshot = control.snapshot();
     let Some(primary) = snapshot.self_declared_primary(service) else {
         return PrimaryInfo::default();
@@ -250,119 +241,6 @@
     }
 }
 
-/// The record of an object that was read in the store's era `era`; `None` if no daemon can have
-/// written it.
-fn parse_lock_record(object: &Object, era: u64) -> Option<PromotionLockRecord> {
-    let record = PromotionLockRecord::deserialize(&object.value)
-        .inspect_err(|err| tracing::warn!(name = %object.name, error = %err, "bad lock record"))
-        .ok()?;
-    if record.era() > era {
-        tracing::warn!(name = %object.name, token = record.token, era,
-            "the fencing token of a promotion lock is of a later era and ignored");
-        return None;
-    }
-    Some(record)
-}
-
-/// Acquires the promotion lock of a service by a conditional write. With `is_renewal`, the lock is
-/// left to a daemon that has acquired it in the store's present era.
-async fn acquire_lock(control: &Control, running: &RunningCoordinator, is_renewal: bool) -> Input {
-    let service = &running.service;
-    let store = &control.platform.store;
-    let read = store.read(ObjectKind::Duties, Arc::clone(service)).await;
-    control.record_store_call("read", read.as_ref().err());
-    let ReadResult { era, object } = match read {
-        Ok(read) => read,
-        Err(err) => {
-            tracing::info!(%service, error = %err, "the promotion lock could not be read");
-            return Input::NotClaimed;
-        }
-    };
-    control.record_era(era, "read");
-    let before = object.as_ref().and_then(|object| parse_lock_record(object, era));
-    let now = Clock.wall_ms();
-    let is_taken = |r: &PromotionLockRecord| {
-        r.era() == era && !r.is_held_by(&control.settings.name, control.incarnation)
-    };
-    if let Some(before) = before.as_ref().filter(|r| is_renewal && is_taken(r)) {
-        tracing::info!(%service, holder = %before.holder, token = before.token, era,
-            "another daemon acquired the promotion lock after the store was restored");
-        running.lock_era.set(era);
-        return Input::Refused;
-    }
-    if let Some(before) = &before
-        && before.incarnation != control.incarnation
-        && now.abs_diff(before.ordered_ms) < PROMOTION_GRACE_MS
-    {
-        tracing::info!(%service, holder = %before.holder, token = before.token,
-            "another daemon recently acquired the promotion lock or requested a promotion");
-        return Input::NotClaimed;
-    }
-    let name = &control.settings.name;
-    let record =
-        PromotionLockRecord::acquired(before.as_ref(), era, name, control.incarnation, now);
-    let fencing_token = record.token;
-    let Ok(value) = serde_json::to_value(&record) else {
-        return Input::NotClaimed;
-    };
-    let expect = object.map(|o| o.revision);
-    let written = store.write(ObjectKind::Duties, Arc::clone(service), expect, value).await;
-    control.record_store_call("write", written.as_ref().err().filter(|e| is_outage(e)));
-    match written {
-        Ok(object) if object.revision.era != era => {
-            // The store was restored between the two calls, and may have forgotten an acquisition
-            // with the same token.
-            tracing::info!(%service, token = fencing_token, era, written_in = object.revision.era,
-                "the promotion lock was acquired across a restore of the store and is not used");
-            Input::NotClaimed
-        }
-        Ok(_) => {
-            running.lock_era.set(era);
-            tracing::info!(%service, token = fencing_token, era, "this daemon holds the duty");
-            Input::Claimed { token: fencing_token }
-        }
-        Err(StoreError::Unavailable(why)) => {
-            let input = verify_lock(control, service, fencing_token, era, &why).await;
-            if matches!(input, Input::Claimed { .. }) {
-                running.lock_era.set(era);
-            }
-            input
-        }
-        Err(err) => {
-            tracing::info!(%service, token = fencing_token, error = %err,
-                "the promotion lock was not acquired");
-            Input::NotClaimed
-        }
-    }
-}
-
-fn is_outage(err: &StoreError) -> bool {
-    matches!(err, StoreError::Unavailable(_) | StoreError::Refused(_))
-}
-
-/// Reads the promotion lock back after an unanswered write, to see whether the write took effect.
-async fn verify_lock(
-    control: &Control,
-    service: &Arc<str>,
-    fencing_token: u64,
-    era: u64,
-    why: &str,
-) -> Input {
-    let read = control.platform.store.read(ObjectKind::Duties, Arc::clone(service)).await;
-    control.record_store_call("read", read.as_ref().err());
-    // A record that is read in a later era may be that of a write which the store has forgotten, or
-    // which took effect after the restore.
-    let read = read.ok().filter(|read| read.era == era);
-    let record = read.and_then(|read| read.object);
-    let record = record.as_ref().and_then(|object| parse_lock_record(object, era));
-    let is_own = record.as_ref().is_some_and(|r| {
-        r.is_held_by(&control.settings.name, control.incarnation) && r.token == fencing_token
-    });
-    tracing::info!(%service, token = fencing_token, why, is_own,
-        "the promotion lock write got no answer; the record was read back");
-    if is_own { Input::Claimed { token: fencing_token } } else { Input::NotClaimed }
-}
-
 async fn request_promotion(
     control: &Rc<Control>,
     running: &Rc<RunningCoordinator>,
@@ -389,84 +267,3 @@
         Err(PromoteError::Limited | PromoteError::Unanswered(_)) => Input::Unanswered,
     }
 }
-
-/// Records in the lock record that a promotion was requested, for other daemons; the request does
-/// not wait for this.
-fn announce_promotion(control: &Rc<Control>, service: &Arc<str>, fencing_token: u64) {
-    let (control, service) = (Rc::clone(control), Arc::clone(service));
-    ntex::rt::spawn(async move {
-        let store = &control.platform.store;
-        let read = store.read(ObjectKind::Duties, Arc::clone(&service)).await;
-        let Ok(ReadResult { era, object: Some(object) }) = read else {
-            return;
-        };
-        let Some(record) = parse_lock_record(&object, era).filter(|r| r.token == fencing_token)
-        else {
-            return;
-        };
-        let record = PromotionLockRecord { ordered_ms: Clock.wall_ms(), ..record };
-        let Ok(value) = serde_json::to_value(&record) else {
-            return;
-        };
-        let written = store.write(ObjectKind::Duties, service, Some(object.revision), value).await;
-        if let Err(err) = written {
-            tracing::info!(token = fencing_token, error = %err,
-                "the promotion request could not be recorded in the promotion lock");
-        }
-    });
-}
-
-/// Queries the state of every instance. With synchronous replication, replicas are first paused, so
-/// that the old primary acknowledges no commit that the next one lacks. They are never resumed
-/// explicitly, since that could undo a command of a daemon with a higher fencing token; the
-/// promotion that follows lets them receive again.
-async fn query_instances(control: &Control, running: &RunningCoordinator) -> Input {
-    if !view::prove_view(control).await {
-        tracing::info!(service = %running.service,
-            "no primary is replaced, because neither the store nor a majority of the peers proves \
-             that the directory is complete");
-        return Input::NotClaimed;
-    }
-    let mut answers = query_listed_instances(control, running).await;
-    // Notices may have arrived while the instances were queried.
-    let snapshot = control.snapshot();
-    for answer in &mut answers {
-        let listed = snapshot.instance(&running.service, &answer.id);
-        answer.is_draining = listed.is_none_or(|entry| !entry.accepts_work());
-    }
-    Input::Asked(answers)
-}
-
-async fn query_listed_instances(control: &Control, running: &RunningCoordinator) -> Vec<Asked> {
-    let snapshot = control.snapshot();
-    let listed = snapshot.instances(&running.service);
-    // Waiting for a primary that has just failed would only delay the result.
-    let is_planned = primary_info(control, &running.service).is_planned();
-    let failed = running.coordinator.borrow().suspected_primary().cloned();
-    let is_queried = |e: &&DirectoryEntry| is_planned || Some(&e.instance.id) != failed.as_ref();
-    let listed: Vec<DirectoryEntry> = listed.iter().filter(is_queried).cloned().collect();
-    let reports = running.probes.query_status(control, &listed, None).await;
-    let newest = reports.iter().filter_map(|a| a.status.map(|s| s.term)).max();
-    let is_newest_primary =
-        |a: &Asked| a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest);
-    let has_primary = !is_planned && reports.iter().any(is_newest_primary);
-    if has_primary || !running.coordinator.borrow().is_synchronous() {
-        return reports;
-    }
-    let term = next_term(&reports);
-    let is_replica = |e: &&DirectoryEntry| {
-        let status = reports.iter().find(|a| a.id == e.instance.id).and_then(|a| a.status);
-        status.is_none_or(|s| s.role == Role::Replica)
-    };
-    let replicas: Vec<DirectoryEntry> = listed.iter().filter(is_replica).cloned().collect();
-    let mut paused = running.probes.query_status(control, &replicas, Some(term)).await;
-    let is_not_replica = |a: &Asked| !replicas.iter().any(|e| e.instance.id == a.id);
-    paused.extend(reports.into_iter().filter(is_not_replica));
-    paused
-}
-
-/// The term under which replicas are paused before a promotion, above every reported term.
-fn next_term(reports: &[Asked]) -> Term {
-    let newest = reports.iter().filter_map(|a| a.status.map(|s| s.term.0)).max().unwrap_or(0);
-    Term(newest + 1)
-}
