Demote a primary that leaves before its successor is chosen

The coordinator stopped the listed replicas and requested a promotion; an instance that joined before it took effect had not been stopped, and the old primary acknowledged what only that one had received.

It says itself that it is a replica, so that it acknowledges nothing more whoever joins, and its log has every commit that was acknowledged; a replica that has received as much is chosen without waiting for instances that do not answer. Where the primary cannot be reached replicas are stopped as before, and the directory is proved again afterwards.

The tests of the coordinator that drove a synchronous group take the new step; none of their expectations changed.

--- a/crates/persimmon-promotion/src/candidate.rs
+++ b/crates/persimmon-promotion/src/candidate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use persimmon_interfaces::{InstanceStatus, Role};
+use persimmon_types::Position;
 
 /// One instance of the group and its answer to a status query. The names of the type and its fields
 /// appear in log lines and stay the same.
@@ -18,6 +19,13 @@
     pub status: Option<InstanceStatus>,
 }
 
+impl Asked {
+    /// The position up to which it has received the log, if it has answered.
+    pub(crate) fn received(&self) -> Option<Position> {
+        self.status.map(|s| s.received)
+    }
+}
+
 /// Chooses the replica that has received most of the log. `failed_primary` is never chosen; if no
 /// primary has failed (`None`), instances that report to be the primary are skipped as well.
 /// Returns `None` if no instance qualifies, or all that do are draining.
@@ -44,18 +52,18 @@
         if status.role == Role::Primary && failed_primary.is_none() {
             continue;
         }
-        if most_advanced.is_none_or(|b| received_position(b) < received_position(instance)) {
+        if most_advanced.is_none_or(|b| b.received() < instance.received()) {
             most_advanced = Some(instance);
         }
         if instance.is_draining {
             continue;
         }
-        if best.is_none_or(|b| received_position(b) < received_position(instance)) {
+        if best.is_none_or(|b| b.received() < instance.received()) {
             best = Some(instance);
         }
     }
     let (best, most_advanced) = (best?, most_advanced?);
-    if is_synchronous && received_position(best) < received_position(most_advanced) {
+    if is_synchronous && best.received() < most_advanced.received() {
         // Only the draining instance has every acknowledged commit; it is primary until another
         // instance has caught up.
         return Some(Arc::clone(&most_advanced.id));
@@ -63,6 +71,28 @@
     Some(Arc::clone(&best.id))
 }
 
-fn received_position(instance: &Asked) -> Option<persimmon_types::Position> {
-    instance.status.map(|s| s.received)
+/// Chooses the instance to promote with synchronous replication, once `old_primary` acknowledges no
+/// more commits.
+///
+/// The log of an old primary that was demoted contains every acknowledged commit. A replica that has
+/// received as much is chosen whether or not the others answer; they include those that joined too
+/// late to be listed. Where no replica has, every one must have answered, and the most advanced one
+/// is chosen. With `may_return`, the demoted primary itself is chosen where they have not.
+#[must_use]
+pub fn choose_from_closed_log(
+    instances: &[Asked],
+    old_primary: Option<&str>,
+    may_return: bool,
+) -> Option<Arc<str>> {
+    let demoted = instances.iter().find(|a| Some(&*a.id) == old_primary);
+    let demoted = demoted.filter(|a| a.status.is_some_and(|s| s.role == Role::Replica));
+    let replicas = instances.iter().filter(|a| Some(&*a.id) != old_primary && !a.is_draining);
+    let best = replicas.max_by_key(|a| a.received());
+    if let (Some(demoted), Some(best)) = (demoted, best)
+        && best.received() >= demoted.received()
+    {
+        return Some(Arc::clone(&best.id));
+    }
+    let candidate = choose_candidate(instances, old_primary, true);
+    candidate.or_else(|| demoted.filter(|_| may_return).map(|a| Arc::clone(&a.id)))
 }
--- a/crates/persimmon-promotion/src/coordinator.rs
+++ b/crates/persimmon-promotion/src/coordinator.rs
@@ -1,14 +1,13 @@
 //! The state machine that coordinates promotions of one database group on one daemon.
 
+mod choosing;
 mod probing;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::Role;
 use persimmon_types::Time;
 
-use crate::candidate::{Asked, choose_candidate};
 use crate::input::{Action, Input, PrimaryInfo, PromotionReason};
 
 /// Pause between two rounds of probes.
@@ -30,12 +29,6 @@
 /// How long a request without an answer may still take effect before it is repeated.
 const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// How long a planned promotion waits for a replica to catch up.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(3_000);
-
-/// Rounds that wait for a late instance before a candidate is chosen without it.
-const MAX_LATE_ROUNDS: u32 = 4;
-
 /// Pause before a failed step is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -66,6 +59,10 @@
         reason: PromotionReason,
         confirmed_at: Time,
     },
+    ClosingLog {
+        reason: PromotionReason,
+        confirmed_at: Time,
+    },
     Promoting {
         reason: PromotionReason,
         old_primary: Option<Arc<str>>,
@@ -157,6 +154,21 @@
         self.suspected_primary.as_ref().filter(|_| !self.is_idle())
     }
 
+    /// Whether a primary that leaves is being replaced, which may still answer.
+    #[must_use]
+    pub fn is_planned(&self) -> bool {
+        match &self.state {
+            State::Idle => false,
+            State::WaitingForHolder { reason, .. }
+            | State::Probing { reason, .. }
+            | State::Confirmed { reason, .. }
+            | State::AcquiringLock { reason, .. }
+            | State::QueryingInstances { reason, .. }
+            | State::ClosingLog { reason, .. }
+            | State::Promoting { reason, .. } => reason.is_planned(),
+        }
+    }
+
     /// Whether there is no reason to replace the primary.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -173,6 +185,7 @@
             State::Confirmed { .. } => "confirmed",
             State::AcquiringLock { .. } => "claiming",
             State::QueryingInstances { .. } => "asking",
+            State::ClosingLog { .. } => "closing",
             State::Promoting { .. } => "ordered",
         }
     }
@@ -194,10 +207,8 @@
             Input::Suspected(id) => self.on_suspected(now, info, &id, actions),
             Input::Probed(findings) => self.on_probed(now, info, &findings, actions),
             Input::Canvassed { failing, answered } => self.on_peers_polled(now, failing, answered),
-            Input::Asked(answers) => {
-                self.may_have_paused_replicas |= self.is_synchronous;
-                self.on_instances_queried(now, info, &answers, actions);
-            }
+            Input::Asked(answers) => self.on_instances_queried(now, info, &answers, actions),
+            Input::Closed(answers) => self.on_log_closed(now, info, &answers, actions),
             Input::Claimed { token } => self.on_lock_acquired(now, token, actions),
             Input::NotClaimed => self.probe_again(now),
             Input::Accepted => {}
@@ -257,7 +268,9 @@
                     actions.push(Action::AcquireLock);
                 }
             }
-            State::AcquiringLock { .. } | State::QueryingInstances { .. } => {}
+            State::AcquiringLock { .. }
+            | State::QueryingInstances { .. }
+            | State::ClosingLog { .. } => {}
             State::Promoting { reason, candidate, check_at, repeat_at, .. } => {
                 if info.primary.as_ref() == Some(candidate) {
                     // The candidate has announced that it is the primary. Whether it still runs is
@@ -303,8 +316,7 @@
             self.start_probing(now, reason, actions);
             return;
         }
-        let is_planned = matches!(reason, PromotionReason::Draining | PromotionReason::Missing);
-        let grace = if is_planned { HOLDER_GRACE * 3 } else { HOLDER_GRACE };
+        let grace = if reason.is_planned() { HOLDER_GRACE * 3 } else { HOLDER_GRACE };
         self.state = State::WaitingForHolder { reason, probe_at: now + grace + self.stagger };
     }
 
@@ -345,6 +357,7 @@
         let reason = match self.state {
             State::AcquiringLock { reason, .. }
             | State::QueryingInstances { reason, .. }
+            | State::ClosingLog { reason, .. }
             | State::Confirmed { reason, .. }
             | State::Promoting { reason, .. } => reason,
             State::Idle | State::WaitingForHolder { .. } | State::Probing { .. } => return,
@@ -353,85 +366,9 @@
         self.state = State::Probing { reason, refused: REFUSED_ROUNDS, silent: 0, probe_at };
     }
 
-    fn on_instances_queried(
-        &mut self,
-        now: Time,
-        info: &PrimaryInfo,
-        answers: &[Asked],
-        actions: &mut Vec<Action>,
-    ) {
-        let State::QueryingInstances { reason, confirmed_at } = self.state else {
-            return;
-        };
-        let Some(fencing_token) = self.fencing_token else {
-            self.probe_again(now);
-            return;
-        };
-        let is_planned = matches!(reason, PromotionReason::Draining | PromotionReason::Missing);
-        let is_primary = |a: &&Asked| a.status.is_some_and(|s| s.role == Role::Primary);
-        let old_primary = self.suspected_primary.clone().or_else(|| info.primary.clone());
-        let newest_term = answers.iter().filter_map(|a| a.status.map(|s| s.term)).max();
-        let found_primary =
-            answers.iter().filter(is_primary).max_by_key(|a| a.status.map(|s| s.term));
-        if let Some(found_primary) = found_primary {
-            let is_current = found_primary.status.map(|s| s.term) == newest_term;
-            let is_being_replaced = is_planned && Some(&found_primary.id) == old_primary.as_ref();
-            if is_current && !is_being_replaced {
-                self.reset();
-                return;
-            }
-        }
-        let is_unknown = |id: &Arc<str>| {
-            Some(id) != old_primary.as_ref() && !answers.iter().any(|a| a.id == *id)
-        };
-        if info.primary.as_ref().is_some_and(is_unknown) {
-            // It was listed after the query began, and may be well.
-            self.probe_again(now);
-            return;
-        }
-        let is_any_late = answers.iter().any(|a| a.is_late && Some(&a.id) != old_primary.as_ref());
-        if is_any_late && self.late_rounds < MAX_LATE_ROUNDS {
-            self.late_rounds += 1;
-            self.probe_again(now);
-            return;
-        }
-        let Some(candidate) =
-            choose_candidate(answers, old_primary.as_deref(), self.is_synchronous)
-        else {
-            self.probe_again(now);
-            return;
-        };
-        // Replicas that were told to stop receive nothing more, so that waiting does not help.
-        let may_wait =
-            is_planned && !self.is_synchronous && now.since(confirmed_at) < CATCH_UP_TIMEOUT;
-        if may_wait && !has_caught_up(answers, &candidate) {
-            self.state = State::Confirmed { reason, confirmed_at, act_at: now + RETRY_DELAY };
-            return;
-        }
-        self.state = State::Promoting {
-            reason,
-            old_primary,
-            candidate: Arc::clone(&candidate),
-            check_at: now + PROBE_INTERVAL,
-            repeat_at: now + PROMOTION_TIMEOUT,
-            refused: 0,
-        };
-        actions.push(Action::RequestPromotion { candidate, fencing_token });
-    }
-
     fn on_unanswered(&mut self, now: Time) {
         if let State::Promoting { repeat_at, .. } = &mut self.state {
             *repeat_at = (now + UNANSWERED_TIMEOUT).min(*repeat_at);
         }
     }
 }
-
-/// Whether the candidate has received nearly as much of the log as the most advanced instance.
-fn has_caught_up(answers: &[Asked], candidate: &Arc<str>) -> bool {
-    /// Commits that may arrive while the query is in transit.
-    const IN_TRANSIT_COMMITS: u64 = 20;
-    let received_lsns = answers.iter().filter_map(|a| a.status.map(|s| s.received.lsn.0));
-    let highest = received_lsns.max().unwrap_or(0);
-    let candidate_status = answers.iter().find(|a| a.id == *candidate).and_then(|a| a.status);
-    candidate_status.is_some_and(|s| s.received.lsn.0 + IN_TRANSIT_COMMITS >= highest)
-}
--- a/crates/persimmon-promotion/src/coordinator/probing.rs
+++ b/crates/persimmon-promotion/src/coordinator/probing.rs
@@ -69,10 +69,10 @@
         reason: PromotionReason,
         found_primary: &Arc<str>,
     ) {
-        let is_planned = matches!(reason, PromotionReason::Draining | PromotionReason::Missing);
         let is_directory_primary = info.primary.as_ref() == Some(found_primary);
         if is_directory_primary
-            && (self.may_have_paused_replicas || is_planned && Self::current_reason(info).is_some())
+            && (self.may_have_paused_replicas
+                || reason.is_planned() && Self::current_reason(info).is_some())
         {
             self.confirm(now, reason);
             return;
--- a/crates/persimmon-promotion/src/input.rs
+++ b/crates/persimmon-promotion/src/input.rs
@@ -18,6 +18,14 @@
     NoPrimary,
 }
 
+impl PromotionReason {
+    /// Whether the primary leaves, and may still answer.
+    #[must_use]
+    pub fn is_planned(self) -> bool {
+        matches!(self, Self::Draining | Self::Missing)
+    }
+}
+
 /// What a probe of one instance found. The names of its variants appear in log lines and stay the
 /// same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,6 +81,9 @@
     },
     /// The instances were queried for their status.
     Asked(Vec<Asked>),
+    /// The log of the primary's term was closed as far as instances could be reached; contains the
+    /// statuses afterwards.
+    Closed(Vec<Asked>),
     /// This daemon acquired the promotion lock.
     Claimed {
         /// The fencing token.
@@ -96,9 +107,12 @@
     Probe,
     /// Poll peers on whether the primary answers them.
     PollPeers,
-    /// Query every instance for its status. With synchronous replication, replicas stop receiving
-    /// first.
+    /// Query every instance for its status.
     QueryInstances,
+    /// With synchronous replication: keep the primary from acknowledging more commits, and query
+    /// every instance for its status afterwards. A primary that can be reached is demoted; where it
+    /// cannot be, replicas stop receiving.
+    CloseLog,
     /// Acquire the promotion lock at the store.
     AcquireLock,
     /// Request a promotion.
--- a/crates/persimmon-promotion/src/lib.rs
+++ b/crates/persimmon-promotion/src/lib.rs
@@ -18,7 +18,7 @@
 mod input;
 mod record;
 
-pub use candidate::{Asked, choose_candidate};
+pub use candidate::{Asked, choose_candidate, choose_from_closed_log};
 pub use coordinator::PromotionCoordinator;
 pub use input::{Action, Input, PrimaryInfo, ProbeFinding, PromotionReason};
 pub use record::PromotionLockRecord;
--- a/crates/persimmon-promotion/tests/coordinator.rs
+++ b/crates/persimmon-promotion/tests/coordinator.rs
@@ -1,83 +1,15 @@
 //! The promotion coordinator of one database group, driven step by step.
 
-use std::sync::Arc;
+mod fixture;
+
 use std::time::Duration;
 
-use persimmon_interfaces::{InstanceStatus, Role};
+use persimmon_interfaces::Role;
 use persimmon_promotion::{
-    Action, Asked, Input, PrimaryInfo, ProbeFinding, PromotionCoordinator, PromotionLockRecord,
-    choose_candidate,
+    Action, Asked, Input, PrimaryInfo, ProbeFinding, PromotionLockRecord, choose_candidate,
 };
-use persimmon_types::{Lsn, Position, Term, Time};
-
-fn at(ms: u64) -> Time {
-    Time::from_millis(100_000 + ms)
-}
-
-fn id(name: &str) -> Arc<str> {
-    Arc::from(name)
-}
-
-fn info(primary: &str) -> PrimaryInfo {
-    PrimaryInfo { primary: Some(id(primary)), ..PrimaryInfo::default() }
-}
-
-fn draining(primary: &str) -> PrimaryInfo {
-    PrimaryInfo { is_draining: true, ..info(primary) }
-}
-
-fn findings(a: ProbeFinding, b: ProbeFinding, c: ProbeFinding) -> Input {
-    Input::Probed(vec![(id("a"), a), (id("b"), b), (id("c"), c)])
-}
-
-fn status(name: &str, role: Role, term: u64, lsn: u64) -> Asked {
-    let status = InstanceStatus::new(role, Term(term));
-    let status = status.with_received(Position::new(Term(term), Lsn(lsn)));
-    Asked { id: id(name), is_draining: false, is_late: false, status: Some(status) }
-}
-
-fn silent(name: &str) -> Asked {
-    Asked { id: id(name), is_draining: false, is_late: false, status: None }
-}
 
-struct Fixture {
-    coordinator: PromotionCoordinator,
-    info: PrimaryInfo,
-}
-
-impl Fixture {
-    fn new(info: PrimaryInfo) -> Self {
-        Self { coordinator: PromotionCoordinator::new(Duration::from_millis(300)), info }
-    }
-
-    fn with_lock(info: PrimaryInfo) -> Self {
-        let mut fixture = Self::new(info);
-        assert_eq!(fixture.input(0, Input::Claimed { token: 7 }), []);
-        fixture
-    }
-
-    fn with_lease(mut self, lease: Duration) -> Self {
-        self.coordinator = self.coordinator.with_lock_lease(lease);
-        self
-    }
-
-    fn input(&mut self, ms: u64, input: Input) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.coordinator.handle(at(ms), &self.info, input, &mut actions);
-        actions
-    }
-
-    /// Drives the lock's holder to the point where it queries the instances.
-    fn confirm_failure(&mut self) {
-        assert_eq!(self.input(10, Input::Suspected(id("a"))), [Action::Probe]);
-        let failed =
-            || findings(ProbeFinding::Refused, ProbeFinding::Follows, ProbeFinding::Follows);
-        assert_eq!(self.input(20, failed()), []);
-        assert_eq!(self.input(130, failed()), [Action::PollPeers]);
-        assert_eq!(self.input(140, Input::Canvassed { failing: 5, answered: 0 }), []);
-        assert_eq!(self.input(200, Input::Tick), [Action::QueryInstances]);
-    }
-}
+use crate::fixture::{Fixture, draining, findings, id, info, silent, status};
 
 #[test]
 fn the_lock_holder_promotes_the_replica_that_received_most() {
@@ -354,8 +286,9 @@
     let mut fixture = Fixture::with_lock(info("a"));
     fixture.coordinator.set_synchronous(true);
     fixture.confirm_failure();
-    let unknown = vec![status("b", Role::Replica, 3, 90), silent("c")];
-    assert_eq!(fixture.input(210, Input::Asked(unknown)), []);
+    let unknown = || vec![status("b", Role::Replica, 3, 90), silent("c")];
+    assert_eq!(fixture.input(210, Input::Asked(unknown())), [Action::CloseLog]);
+    assert_eq!(fixture.input(220, Input::Closed(unknown())), []);
     assert_eq!(fixture.input(450, Input::Tick), [Action::Probe]);
 
     assert_eq!(
@@ -367,8 +300,9 @@
     );
 
     assert_eq!(fixture.input(500, Input::Tick), [Action::QueryInstances]);
-    let known = vec![status("b", Role::Replica, 3, 90), status("c", Role::Replica, 3, 91)];
-    let promotion = fixture.input(510, Input::Asked(known));
+    let known = || vec![status("b", Role::Replica, 3, 90), status("c", Role::Replica, 3, 91)];
+    assert_eq!(fixture.input(510, Input::Asked(known())), [Action::CloseLog]);
+    let promotion = fixture.input(520, Input::Closed(known()));
     assert_eq!(promotion, [Action::RequestPromotion { candidate: id("c"), fencing_token: 7 }]);
 }
 
@@ -419,8 +353,9 @@
     fixture.confirm_failure();
     fixture.info = info("b");
 
-    let answers = vec![status("b", Role::Replica, 1, 9), status("c", Role::Replica, 1, 5)];
-    let actions = fixture.input(210, Input::Asked(answers));
+    let answers = || vec![status("b", Role::Replica, 1, 9), status("c", Role::Replica, 1, 5)];
+    assert_eq!(fixture.input(210, Input::Asked(answers())), [Action::CloseLog]);
+    let actions = fixture.input(220, Input::Closed(answers()));
 
     assert_eq!(actions, [Action::RequestPromotion { candidate: id("b"), fencing_token: 7 }]);
 }
--- a/crates/persimmon-proxy/src/control/probe.rs
+++ b/crates/persimmon-proxy/src/control/probe.rs
@@ -10,7 +10,6 @@
 use futures::future::join_all;
 use persimmon_interfaces::{Command, ErrorCode, InstanceStatus};
 use persimmon_promotion::{Asked, ProbeFinding};
-use persimmon_types::Term;
 
 use crate::connection::{BackendConnection, Begin, ConnectionError, DesiredState};
 use crate::control::Control;
@@ -96,20 +95,20 @@
         found
     }
 
-    /// Queries the status of every instance; with a term, pauses replication on them first.
+    /// Sends every instance a command that is answered with its status.
     pub(crate) async fn query_status(
         &self,
         control: &Control,
         entries: &[DirectoryEntry],
-        pause: Option<Term>,
+        command: Command<'_>,
     ) -> Vec<Asked> {
         let queries = entries.iter().map(|entry| async move {
             let mut is_late = false;
-            let status = match self.query_one(control, entry, pause).await {
+            let status = match self.query_one(control, entry, command).await {
                 Ok(status) => status,
                 Err(err) => {
                     is_late = matches!(err, ConnectionError::TimedOut);
-                    tracing::info!(instance = %entry.instance.id, error = %err,
+                    tracing::info!(instance = %entry.instance.id, ?command, error = %err,
                         "querying the status of an instance failed");
                     None
                 }
@@ -124,10 +123,9 @@
         &self,
         control: &Control,
         entry: &DirectoryEntry,
-        pause: Option<Term>,
+        command: Command<'_>,
     ) -> Result<Option<InstanceStatus>, ConnectionError> {
         let mut backend = self.checkout(control, entry, STATUS_TIMEOUT).await?;
-        let command = pause.map_or(Command::Status, Command::Pause);
         backend.send(&[command])?;
         let answer = backend.answer(STATUS_TIMEOUT).await?;
         let status =
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -16,7 +16,7 @@
 use crate::control::peers;
 use crate::control::probe::ProbeConnections;
 use crate::control::promotion_lock::{acquire_lock, announce_promotion};
-use crate::control::replication::query_instances;
+use crate::control::replication::{close_log, query_instances};
 use crate::metrics::Metrics;
 use crate::traffic::Suspicion;
 
@@ -234,6 +234,7 @@
             Input::Canvassed { failing, answered }
         }
         Action::QueryInstances => query_instances(control, running).await,
+        Action::CloseLog => close_log(control, running).await,
         Action::AcquireLock => acquire_lock(control, running, false).await,
         Action::RequestPromotion { candidate, fencing_token } => {
             request_promotion(control, running, candidate, fencing_token).await
--- a/crates/persimmon-proxy/src/control/replication.rs
+++ b/crates/persimmon-proxy/src/control/replication.rs
@@ -1,18 +1,20 @@
-//! Queries the instances of a service, and stops replication before a promotion.
+//! Queries the instances of a service, and closes the log of a primary before a promotion.
 
-use persimmon_interfaces::Role;
+use std::sync::Arc;
+
+use persimmon_interfaces::{Command, InstanceStatus, Role};
 use persimmon_promotion::{Asked, Input};
-use persimmon_types::Term;
+use persimmon_types::{Clock, Term};
 
 use crate::control::Control;
-use crate::control::promotion::{RunningCoordinator, primary_info};
+use crate::control::promotion::RunningCoordinator;
 use crate::control::view;
 use crate::snapshot::DirectoryEntry;
 
-/// Queries the state of every instance. With synchronous replication, replicas are first paused, so
-/// that the old primary acknowledges no commit that the next one lacks. They are never resumed
-/// explicitly, since that could undo a command of a daemon with a higher fencing token; the
-/// promotion that follows lets them receive again.
+/// Rounds in which instances that joined meanwhile are queried too, before the attempt is given up.
+const MAX_JOIN_ROUNDS: usize = 3;
+
+/// Queries the state of every instance.
 pub(super) async fn query_instances(control: &Control, running: &RunningCoordinator) -> Input {
     if !view::prove_view(control).await {
         tracing::info!(service = %running.service,
@@ -20,46 +22,121 @@
              that the directory is complete");
         return Input::NotClaimed;
     }
-    let mut answers = query_listed_instances(control, running).await;
-    // Notices may have arrived while the instances were queried.
-    let snapshot = control.snapshot();
-    for answer in &mut answers {
-        let listed = snapshot.instance(&running.service, &answer.id);
-        answer.is_draining = listed.is_none_or(|entry| !entry.accepts_work());
-    }
+    let (listed, _) = listed_instances(control, running);
+    let mut answers = running.probes.query_status(control, &listed, Command::Status).await;
+    refresh_draining(control, running, &mut answers);
     Input::Asked(answers)
 }
 
-async fn query_listed_instances(control: &Control, running: &RunningCoordinator) -> Vec<Asked> {
-    let snapshot = control.snapshot();
-    let listed = snapshot.instances(&running.service);
-    // Waiting for a primary that has just failed would only delay the result.
-    let is_planned = primary_info(control, &running.service).is_planned();
-    let failed = running.coordinator.borrow().suspected_primary().cloned();
-    let is_queried = |e: &&DirectoryEntry| is_planned || Some(&e.instance.id) != failed.as_ref();
-    let listed: Vec<DirectoryEntry> = listed.iter().filter(is_queried).cloned().collect();
-    let reports = running.probes.query_status(control, &listed, None).await;
-    let newest = reports.iter().filter_map(|a| a.status.map(|s| s.term)).max();
-    let is_newest_primary =
-        |a: &Asked| a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest);
-    let has_primary = !is_planned && reports.iter().any(is_newest_primary);
-    if has_primary || !running.coordinator.borrow().is_synchronous() {
-        return reports;
+/// Keeps the old primary from acknowledging commits that the next one may lack, and queries the state
+/// of every instance afterwards.
+///
+/// An old primary that leaves is demoted: what it acknowledged before is in its log. Where it cannot
+/// be reached, replicas stop receiving, including those that join meanwhile.
+pub(super) async fn close_log(control: &Control, running: &RunningCoordinator) -> Input {
+    let (mut covered, old_primary) = listed_instances(control, running);
+    let mut answers = running.probes.query_status(control, &covered, Command::Status).await;
+    let newest = newest_term(&answers);
+    let is_old_primary = |id: &Arc<str>| Some(id) == old_primary.as_ref();
+    let has_successor = answers.iter().any(|a| {
+        !is_old_primary(&a.id)
+            && a.status.is_some_and(|s| s.role == Role::Primary && Some(s.term) == newest)
+    });
+    if has_successor {
+        return Input::Closed(answers);
+    }
+    let term = Term(newest.map_or(0, |t| t.0) + 1);
+    let demoted = demote(control, running, &covered, old_primary.as_ref(), term).await;
+    let command = if demoted.is_some() { Command::Status } else { Command::Pause(term) };
+    let mut next: Vec<DirectoryEntry> =
+        covered.iter().filter(|e| !is_old_primary(&e.instance.id)).cloned().collect();
+    answers.clear();
+    for _ in 0..MAX_JOIN_ROUNDS {
+        let closed_at = Clock.now();
+        answers.extend(running.probes.query_status(control, &next, command).await);
+        let is_proved = view::prove_view_since(control, closed_at).await;
+        if !is_proved && demoted.is_none() {
+            return Input::NotClaimed;
+        }
+        next = joined_instances(control, running, &covered);
+        if next.is_empty() {
+            break;
+        }
+        tracing::info!(service = %running.service, joined = next.len(),
+            "instances joined while the log of the primary was closed");
+        covered.extend_from_slice(&next);
+    }
+    if !next.is_empty() {
+        return Input::NotClaimed;
+    }
+    if let (Some(id), Some(_)) = (old_primary, demoted) {
+        answers.push(Asked { id, is_draining: true, is_late: false, status: demoted });
+    }
+    refresh_draining(control, running, &mut answers);
+    Input::Closed(answers)
+}
+
+/// Demotes the old primary if it leaves and can be reached; returns its status if it is a replica
+/// now.
+async fn demote(
+    control: &Control,
+    running: &RunningCoordinator,
+    listed: &[DirectoryEntry],
+    old_primary: Option<&Arc<str>>,
+    term: Term,
+) -> Option<InstanceStatus> {
+    if !running.coordinator.borrow().is_planned() {
+        return None;
     }
-    let term = next_term(&reports);
-    let is_replica = |e: &&DirectoryEntry| {
-        let status = reports.iter().find(|a| a.id == e.instance.id).and_then(|a| a.status);
-        status.is_none_or(|s| s.role == Role::Replica)
+    let entry = listed.iter().find(|e| Some(&e.instance.id) == old_primary)?;
+    let entries = std::slice::from_ref(entry);
+    let answers = running.probes.query_status(control, entries, Command::Demote(term)).await;
+    let status = answers.first().and_then(|a| a.status);
+    tracing::info!(service = %running.service, instance = %entry.instance.id, %term, ?status,
+        "the primary was told to become a replica");
+    status.filter(|s| s.role == Role::Replica)
+}
+
+/// The instances to query, and the primary that is to be replaced. A primary that has just failed is
+/// left out: waiting for it would only delay the result.
+fn listed_instances(
+    control: &Control,
+    running: &RunningCoordinator,
+) -> (Vec<DirectoryEntry>, Option<Arc<str>>) {
+    let snapshot = control.snapshot();
+    let coordinator = running.coordinator.borrow();
+    let old_primary = coordinator.suspected_primary().cloned();
+    let is_queried = |e: &&DirectoryEntry| {
+        coordinator.is_planned() || Some(&e.instance.id) != old_primary.as_ref()
+    };
+    let listed = snapshot.instances(&running.service).iter().filter(is_queried).cloned().collect();
+    (listed, old_primary)
+}
+
+/// The listed instances that are neither covered nor the old primary.
+fn joined_instances(
+    control: &Control,
+    running: &RunningCoordinator,
+    covered: &[DirectoryEntry],
+) -> Vec<DirectoryEntry> {
+    let old_primary = running.coordinator.borrow().suspected_primary().cloned();
+    let snapshot = control.snapshot();
+    let is_covered = |e: &DirectoryEntry| {
+        Some(&e.instance.id) == old_primary.as_ref()
+            || covered.iter().any(|c| c.instance.id == e.instance.id)
     };
-    let replicas: Vec<DirectoryEntry> = listed.iter().filter(is_replica).cloned().collect();
-    let mut paused = running.probes.query_status(control, &replicas, Some(term)).await;
-    let is_not_replica = |a: &Asked| !replicas.iter().any(|e| e.instance.id == a.id);
-    paused.extend(reports.into_iter().filter(is_not_replica));
-    paused
+    snapshot.instances(&running.service).iter().filter(|e| !is_covered(e)).cloned().collect()
+}
+
+/// Notices may have arrived while the instances were queried.
+fn refresh_draining(control: &Control, running: &RunningCoordinator, answers: &mut [Asked]) {
+    let snapshot = control.snapshot();
+    for answer in answers {
+        let listed = snapshot.instance(&running.service, &answer.id);
+        answer.is_draining = listed.is_none_or(|entry| !entry.accepts_work());
+    }
 }
 
-/// The term under which replicas are paused before a promotion, above every reported term.
-fn next_term(reports: &[Asked]) -> Term {
-    let newest = reports.iter().filter_map(|a| a.status.map(|s| s.term.0)).max().unwrap_or(0);
-    Term(newest + 1)
+fn newest_term(answers: &[Asked]) -> Option<Term> {
+    answers.iter().filter_map(|a| a.status.map(|s| s.term)).max()
 }
--- a/crates/persimmon-proxy/src/control/view.rs
+++ b/crates/persimmon-proxy/src/control/view.rs
@@ -23,9 +23,13 @@
 /// Brings the directory up to date; returns whether the store answered, or else a majority of the
 /// peers: a minority may be cut off together with this daemon.
 pub(super) async fn prove_view(control: &Control) -> bool {
+    prove_view_since(control, Clock.now() - MAX_VIEW_AGE).await
+}
+
+/// The same; the proof is not older than `since`.
+pub(super) async fn prove_view_since(control: &Control, since: Time) -> bool {
     let kind = RelayedKind::Instances;
-    let is_recent = |until: Time| Clock.now().since(until) < MAX_VIEW_AGE;
-    if control.relay.complete_until(kind).is_some_and(is_recent) {
+    if control.relay.complete_until(kind).is_some_and(|until| until >= since) {
         return true;
     }
     let Some(revision) = control.relay.revision(kind) else {
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod crowd;
 pub mod keys;
 pub mod owners;
+pub mod writers;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/persimmond/tests/synchronous_replication.rs
@@ -0,0 +1,71 @@
+//! Guards against acknowledged commits that a promotion loses, and against writes that stay blocked,
+//! in a group whose commits wait for one replica. The fakes record each lost commit.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use persimmon_lab::line_cluster::InstanceProfile;
+
+use crate::fleet::writers::Writers;
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_with};
+
+/// How long after its request a promotion takes effect.
+const PROMOTION_DELAY: Duration = Duration::from_millis(1_000);
+
+/// After this time, a daemon has proved at the store that its directory is complete.
+const DIRECTORY_PROOF_TIME: Duration = Duration::from_secs(4);
+
+fn synchronous_setup(name: &str) -> Setup {
+    let profile = InstanceProfile {
+        sync_replicas: 1,
+        promotion_delay: PROMOTION_DELAY,
+        ..InstanceProfile::default()
+    };
+    setup_with(name, 3, profile)
+}
+
+/// Starts writers, and waits until the daemons know that they have the whole directory: they would
+/// take an instance that announces earlier that it leaves for one that has left.
+fn start_writers(setup: &Setup) -> Writers {
+    let addresses: Vec<SocketAddr> = setup.daemons.iter().map(|d| d.addresses.clients).collect();
+    let writers = Writers::start(&addresses);
+    publish_for(setup, &[], DIRECTORY_PROOF_TIME);
+    assert!(writers.acknowledged() > 50);
+    writers
+}
+
+/// Publishes the present roles, with these instances draining, until a condition holds.
+fn publish_until(setup: &Setup, draining: &[usize], mut condition: impl FnMut() -> bool) -> bool {
+    holds_within(CONDITION_TIMEOUT, || {
+        setup.cluster.publish_with_draining(draining);
+        condition()
+    })
+}
+
+fn publish_for(setup: &Setup, draining: &[usize], time: Duration) {
+    let until = Instant::now() + time;
+    publish_until(setup, draining, || Instant::now() >= until);
+}
+
+/// Guards against a replica that joins while a promotion takes effect, and with which the old
+/// primary acknowledges commits that the next one lacks.
+#[test]
+fn replica_that_joins_during_a_planned_promotion_costs_no_acknowledged_commit() {
+    let mut setup = synchronous_setup("sync-join");
+    let writers = start_writers(&setup);
+    setup.cluster.add_instance(0).expect("an instance starts");
+
+    let is_requested =
+        publish_until(&setup, &[0], || !setup.cluster.store.requested_promotions().is_empty());
+    setup.cluster.add_instance(0).expect("an instance starts");
+
+    assert!(is_requested);
+    let group = &setup.cluster.groups[0].0;
+    let is_replaced = || group.primary().is_some_and(|primary| primary != 0);
+    assert!(publish_until(&setup, &[0], is_replaced));
+    let before = writers.acknowledged();
+    assert!(publish_until(&setup, &[0], || writers.acknowledged() > before + 50));
+    setup.assert_no_violations();
+}
