Use a fencing token for one instance while a request without an answer may act

A request to promote got no answer and was carried out 9 s later, after the same holder had promoted another instance with the same token, so that the fence let it pass.

Requests without an answer are remembered until the authority has accepted one of a higher token. Before another request the holder acquires the lock again, for a higher token; while the store is away the old one may be used for the same instance only. Before a primary that leaves is demoted, a request that names the primary itself lets the authority refuse the requests of earlier holders; it is left out where the fence is known to be raised, or nobody had a token before. Answers that say that nothing was done (429, 503, no connection) need no higher token. A daemon that finds the lock with another one gives up its token.

--- a/crates/persimmon-interfaces/src/promote.rs
+++ b/crates/persimmon-interfaces/src/promote.rs
@@ -28,6 +28,9 @@
     /// The request rate was exceeded; nothing was done.
     #[error("too many promotion requests")]
     Limited,
+    /// The authority could not be reached, or is unavailable; nothing was done.
+    #[error("the promotion authority is unavailable: {0}")]
+    Unavailable(String),
     /// No valid answer came; the promotion may have happened or may still happen.
     #[error("no answer to the promotion request: {0}")]
     Unanswered(String),
--- a/crates/persimmon-promotion/src/candidate.rs
+++ b/crates/persimmon-promotion/src/candidate.rs
@@ -77,22 +77,30 @@
 /// The log of an old primary that was demoted contains every acknowledged commit. A replica that has
 /// received as much is chosen whether or not the others answer; they include those that joined too
 /// late to be listed. Where no replica has, every one must have answered, and the most advanced one
-/// is chosen. With `may_return`, the demoted primary itself is chosen where they have not.
+/// is chosen. With `may_return`, the demoted primary itself is chosen where they have not. Of equal
+/// replicas, `preferred` is chosen: a request that names it may still take effect.
 #[must_use]
 pub fn choose_from_closed_log(
     instances: &[Asked],
     old_primary: Option<&str>,
+    preferred: Option<&str>,
     may_return: bool,
 ) -> Option<Arc<str>> {
     let demoted = instances.iter().find(|a| Some(&*a.id) == old_primary);
     let demoted = demoted.filter(|a| a.status.is_some_and(|s| s.role == Role::Replica));
-    let replicas = instances.iter().filter(|a| Some(&*a.id) != old_primary && !a.is_draining);
-    let best = replicas.max_by_key(|a| a.received());
-    if let (Some(demoted), Some(best)) = (demoted, best)
-        && best.received() >= demoted.received()
+    let replicas = instances.iter().filter(|a| Some(&*a.id) != old_primary && !a.is_draining).rev();
+    let best = replicas.max_by_key(|a| (a.received(), Some(&*a.id) == preferred));
+    let candidate = choose_candidate(instances, old_primary, true);
+    if let Some(best) = best
+        && best.status.is_some()
     {
-        return Some(Arc::clone(&best.id));
+        let has_whole_log = demoted.is_some_and(|demoted| best.received() >= demoted.received());
+        let is_as_good = |id: &Arc<str>| {
+            instances.iter().any(|a| a.id == *id && a.received() <= best.received())
+        };
+        if has_whole_log || candidate.as_ref().is_some_and(is_as_good) {
+            return Some(Arc::clone(&best.id));
+        }
     }
-    let candidate = choose_candidate(instances, old_primary, true);
     candidate.or_else(|| demoted.filter(|_| may_return).map(|a| Arc::clone(&a.id)))
 }
--- a/crates/persimmon-promotion/src/coordinator.rs
+++ b/crates/persimmon-promotion/src/coordinator.rs
@@ -2,6 +2,7 @@
 
 mod choosing;
 mod probing;
+mod requesting;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use persimmon_types::Time;
 
 use crate::input::{Action, Input, PrimaryInfo, PromotionReason};
+use crate::outstanding::OutstandingRequests;
 
 /// Pause between two rounds of probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
@@ -26,9 +28,6 @@
 /// How long a promotion may take before the instances are queried again and a new request is sent.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(3_500);
 
-/// How long a request without an answer may still take effect before it is repeated.
-const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Pause before a failed step is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -59,6 +58,11 @@
         reason: PromotionReason,
         confirmed_at: Time,
     },
+    /// The primary leaves; the authority is asked to refuse earlier requests before it is demoted.
+    RaisingFence {
+        reason: PromotionReason,
+        confirmed_at: Time,
+    },
     ClosingLog {
         reason: PromotionReason,
         confirmed_at: Time,
@@ -89,6 +93,10 @@
     /// leases; zero elsewhere.
     lock_lease: Duration,
     may_act_at: Time,
+    outstanding: OutstandingRequests,
+    /// Whether no request of a lower token can take effect any more, and the authority answered the
+    /// latest request.
+    is_fence_raised: bool,
     is_synchronous: bool,
     /// Whether replicas may have been told to stop receiving; only a promotion lets them resume.
     may_have_paused_replicas: bool,
@@ -111,6 +119,8 @@
             stagger,
             lock_lease: Duration::ZERO,
             may_act_at: Time::ZERO,
+            outstanding: OutstandingRequests::default(),
+            is_fence_raised: false,
             is_synchronous: false,
             may_have_paused_replicas: false,
             late_rounds: 0,
@@ -164,6 +174,7 @@
             | State::Confirmed { reason, .. }
             | State::AcquiringLock { reason, .. }
             | State::QueryingInstances { reason, .. }
+            | State::RaisingFence { reason, .. }
             | State::ClosingLog { reason, .. }
             | State::Promoting { reason, .. } => reason.is_planned(),
         }
@@ -185,6 +196,7 @@
             State::Confirmed { .. } => "confirmed",
             State::AcquiringLock { .. } => "claiming",
             State::QueryingInstances { .. } => "asking",
+            State::RaisingFence { .. } => "fencing",
             State::ClosingLog { .. } => "closing",
             State::Promoting { .. } => "ordered",
         }
@@ -209,14 +221,32 @@
             Input::Canvassed { failing, answered } => self.on_peers_polled(now, failing, answered),
             Input::Asked(answers) => self.on_instances_queried(now, info, &answers, actions),
             Input::Closed(answers) => self.on_log_closed(now, info, &answers, actions),
-            Input::Claimed { token } => self.on_lock_acquired(now, token, actions),
+            Input::Claimed { token, is_first } => {
+                self.is_fence_raised = is_first;
+                self.on_lock_acquired(now, token, actions);
+            }
             Input::NotClaimed => self.probe_again(now),
-            Input::Accepted => {}
-            Input::Refused => {
-                self.fencing_token = None;
-                self.probe_again(now);
+            Input::LockUnavailable => self.on_lock_unavailable(now, actions),
+            Input::LockLost => self.on_lock_lost(now),
+            Input::Accepted(req) => {
+                self.outstanding.record_accepted(&req);
+                self.is_fence_raised = Some(req.fencing_token) == self.fencing_token;
+                self.on_accepted(actions);
+            }
+            Input::Refused(req) => {
+                self.outstanding.record_not_done(&req);
+                self.on_lock_lost(now);
+            }
+            Input::NotDone(req) => {
+                self.outstanding.record_not_done(&req);
+                self.is_fence_raised = false;
+                self.on_not_done(now);
+            }
+            Input::Unanswered(req) => {
+                self.outstanding.record_unanswered(&req);
+                self.is_fence_raised = false;
+                self.on_not_done(now);
             }
-            Input::Unanswered => self.on_unanswered(now),
         }
     }
 
@@ -260,9 +290,10 @@
                     return;
                 }
                 let (reason, confirmed_at) = (*reason, *confirmed_at);
-                if self.fencing_token.is_some() {
-                    self.state = State::QueryingInstances { reason, confirmed_at };
-                    actions.push(Action::QueryInstances);
+                // Only a higher token keeps a request without an answer from taking effect.
+                let is_usable = |token: &u64| !self.outstanding.has_from(*token);
+                if self.fencing_token.as_ref().is_some_and(is_usable) {
+                    self.query_instances(reason, confirmed_at, actions);
                 } else {
                     self.state = State::AcquiringLock { reason, confirmed_at };
                     actions.push(Action::AcquireLock);
@@ -270,6 +301,7 @@
             }
             State::AcquiringLock { .. }
             | State::QueryingInstances { .. }
+            | State::RaisingFence { .. }
             | State::ClosingLog { .. } => {}
             State::Promoting { reason, candidate, check_at, repeat_at, .. } => {
                 if info.primary.as_ref() == Some(candidate) {
@@ -344,19 +376,45 @@
         }
         if let State::AcquiringLock { reason, confirmed_at } = self.state {
             if self.lock_lease.is_zero() {
-                self.state = State::QueryingInstances { reason, confirmed_at };
-                actions.push(Action::QueryInstances);
+                self.query_instances(reason, confirmed_at, actions);
             } else {
                 self.state = State::Confirmed { reason, confirmed_at, act_at: self.may_act_at };
             }
         }
     }
 
+    fn query_instances(
+        &mut self,
+        reason: PromotionReason,
+        confirmed_at: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        self.state = State::QueryingInstances { reason, confirmed_at };
+        actions.push(Action::QueryInstances);
+    }
+
+    /// Goes on with the token that this daemon has: it may still be used for the instance that was
+    /// named before.
+    fn on_lock_unavailable(&mut self, now: Time, actions: &mut Vec<Action>) {
+        match self.state {
+            State::AcquiringLock { reason, confirmed_at } if self.fencing_token.is_some() => {
+                self.query_instances(reason, confirmed_at, actions);
+            }
+            _ => self.probe_again(now),
+        }
+    }
+
+    fn on_lock_lost(&mut self, now: Time) {
+        self.fencing_token = None;
+        self.probe_again(now);
+    }
+
     /// Returns to probing after a step that did not succeed.
     fn probe_again(&mut self, now: Time) {
         let reason = match self.state {
             State::AcquiringLock { reason, .. }
             | State::QueryingInstances { reason, .. }
+            | State::RaisingFence { reason, .. }
             | State::ClosingLog { reason, .. }
             | State::Confirmed { reason, .. }
             | State::Promoting { reason, .. } => reason,
@@ -365,10 +423,4 @@
         let probe_at = now + RETRY_DELAY;
         self.state = State::Probing { reason, refused: REFUSED_ROUNDS, silent: 0, probe_at };
     }
-
-    fn on_unanswered(&mut self, now: Time) {
-        if let State::Promoting { repeat_at, .. } = &mut self.state {
-            *repeat_at = (now + UNANSWERED_TIMEOUT).min(*repeat_at);
-        }
-    }
 }
--- a/crates/persimmon-promotion/src/coordinator/choosing.rs
+++ b/crates/persimmon-promotion/src/coordinator/choosing.rs
@@ -7,9 +7,7 @@
 use persimmon_types::Time;
 
 use crate::candidate::{Asked, choose_candidate, choose_from_closed_log};
-use crate::coordinator::{
-    PROBE_INTERVAL, PROMOTION_TIMEOUT, PromotionCoordinator, RETRY_DELAY, State,
-};
+use crate::coordinator::{PromotionCoordinator, RETRY_DELAY, State};
 use crate::input::{Action, PrimaryInfo, PromotionReason};
 
 /// How long a planned promotion waits for a replica to catch up.
@@ -43,9 +41,17 @@
                 self.state = State::Confirmed { reason, confirmed_at, act_at: now + RETRY_DELAY };
                 return;
             }
-            self.may_have_paused_replicas = true;
-            self.state = State::ClosingLog { reason, confirmed_at };
-            actions.push(Action::CloseLog);
+            let leads = |a: &&Asked| {
+                Some(&a.id) == old_primary.as_ref()
+                    && a.status.is_some_and(|s| s.role == Role::Primary)
+            };
+            match answers.iter().find(leads) {
+                Some(primary) if !self.is_fence_raised => {
+                    let primary = Arc::clone(&primary.id);
+                    self.raise_fence(now, reason, confirmed_at, primary, actions);
+                }
+                _ => self.close_log(reason, confirmed_at, actions),
+            }
             return;
         }
         let Some(candidate) = choose_candidate(answers, old_primary.as_deref(), false) else {
@@ -74,7 +80,9 @@
             return;
         }
         let may_return = self.late_rounds >= MAX_LATE_ROUNDS;
-        let Some(candidate) = choose_from_closed_log(answers, old_primary.as_deref(), may_return)
+        let preferred = self.outstanding.only_candidate().map(|id| &**id);
+        let Some(candidate) =
+            choose_from_closed_log(answers, old_primary.as_deref(), preferred, may_return)
         else {
             self.late_rounds += 1;
             self.probe_again(now);
@@ -128,29 +136,6 @@
         }
         true
     }
-
-    fn request_promotion(
-        &mut self,
-        now: Time,
-        reason: PromotionReason,
-        old_primary: Option<Arc<str>>,
-        candidate: Arc<str>,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(fencing_token) = self.fencing_token else {
-            self.probe_again(now);
-            return;
-        };
-        self.state = State::Promoting {
-            reason,
-            old_primary,
-            candidate: Arc::clone(&candidate),
-            check_at: now + PROBE_INTERVAL,
-            repeat_at: now + PROMOTION_TIMEOUT,
-            refused: 0,
-        };
-        actions.push(Action::RequestPromotion { candidate, fencing_token });
-    }
 }
 
 /// Whether the candidate has received nearly as much of the log as the most advanced instance.
--- /dev/null
+++ b/crates/persimmon-promotion/src/coordinator/requesting.rs
@@ -0,0 +1,99 @@
+//! Promotion requests, and what follows from their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use persimmon_types::Time;
+
+use crate::coordinator::{PROBE_INTERVAL, PROMOTION_TIMEOUT, PromotionCoordinator, State};
+use crate::input::{Action, PromotionReason, Request};
+
+/// How long after a request without an answer the instances are queried again.
+const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+impl PromotionCoordinator {
+    pub(super) fn request_promotion(
+        &mut self,
+        now: Time,
+        reason: PromotionReason,
+        old_primary: Option<Arc<str>>,
+        candidate: Arc<str>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.send_request(&candidate, actions) {
+            self.probe_again(now);
+            return;
+        }
+        self.state = State::Promoting {
+            reason,
+            old_primary,
+            candidate,
+            check_at: now + PROBE_INTERVAL,
+            repeat_at: now + PROMOTION_TIMEOUT,
+            refused: 0,
+        };
+    }
+
+    /// Lets the authority refuse earlier requests, of any daemon, before the primary is demoted. After
+    /// a failed request this also shows that the authority answers again.
+    pub(super) fn raise_fence(
+        &mut self,
+        now: Time,
+        reason: PromotionReason,
+        confirmed_at: Time,
+        primary: Arc<str>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.send_request(&primary, actions) {
+            self.probe_again(now);
+            return;
+        }
+        self.state = State::RaisingFence { reason, confirmed_at };
+    }
+
+    pub(super) fn close_log(
+        &mut self,
+        reason: PromotionReason,
+        confirmed_at: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        self.may_have_paused_replicas = true;
+        self.state = State::ClosingLog { reason, confirmed_at };
+        actions.push(Action::CloseLog);
+    }
+
+    /// Requests a promotion, if the token may be used for that instance.
+    fn send_request(&mut self, candidate: &Arc<str>, actions: &mut Vec<Action>) -> bool {
+        let Some(fencing_token) = self.fencing_token else {
+            return false;
+        };
+        if !self.outstanding.allow(fencing_token, candidate) {
+            return false;
+        }
+        let req = Request { candidate: Arc::clone(candidate), fencing_token };
+        self.outstanding.record_sent(req.clone());
+        actions.push(Action::RequestPromotion(req));
+        true
+    }
+
+    pub(super) fn on_accepted(&mut self, actions: &mut Vec<Action>) {
+        if let State::RaisingFence { reason, confirmed_at } = self.state {
+            self.close_log(reason, confirmed_at, actions);
+        }
+    }
+
+    /// A request had no effect yet. It is repeated from the state of the instances then.
+    pub(super) fn on_not_done(&mut self, now: Time) {
+        match &mut self.state {
+            State::Promoting { repeat_at, .. } => {
+                *repeat_at = (now + UNANSWERED_TIMEOUT).min(*repeat_at);
+            }
+            State::RaisingFence { reason, confirmed_at } => {
+                let (reason, confirmed_at) = (*reason, *confirmed_at);
+                let act_at = now + UNANSWERED_TIMEOUT;
+                self.state = State::Confirmed { reason, confirmed_at, act_at };
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/persimmon-promotion/src/input.rs
+++ b/crates/persimmon-promotion/src/input.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// A promotion request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The instance to promote.
+    pub candidate: Arc<str>,
+    /// The fencing token.
+    pub fencing_token: u64,
+}
+
 /// An input of the coordinator: the passing of time, an observation, or the result of an
 /// [`Action`]. The names of its variants appear in log lines and stay the same.
 #[derive(Clone, Debug)]
@@ -88,16 +97,24 @@
     Claimed {
         /// The fencing token.
         token: u64,
+        /// Whether no daemon can have used a token for the group before.
+        is_first: bool,
     },
-    /// The promotion lock was not acquired: another daemon holds it and is acting, or the store did
-    /// not answer.
+    /// The promotion lock was not acquired, or a query of the instances could not be completed.
     NotClaimed,
+    /// The promotion lock was not acquired, because the store did not answer.
+    LockUnavailable,
+    /// Another daemon has acquired the promotion lock.
+    LockLost,
     /// A promotion request was accepted.
-    Accepted,
+    Accepted(Request),
     /// A promotion request was refused.
-    Refused,
-    /// A promotion request had no answer, or the request rate was exceeded.
-    Unanswered,
+    Refused(Request),
+    /// A promotion request was not carried out and will not be: the authority was unavailable, or the
+    /// request rate was exceeded.
+    NotDone(Request),
+    /// A promotion request had no answer; it may still be carried out.
+    Unanswered(Request),
 }
 
 /// What the driver of the coordinator is to do.
@@ -115,11 +132,7 @@
     CloseLog,
     /// Acquire the promotion lock at the store.
     AcquireLock,
-    /// Request a promotion.
-    RequestPromotion {
-        /// The instance to promote.
-        candidate: Arc<str>,
-        /// The fencing token.
-        fencing_token: u64,
-    },
+    /// Request a promotion. A request that names the present primary changes nothing, but lets the
+    /// authority refuse lower tokens from then on.
+    RequestPromotion(Request),
 }
--- a/crates/persimmon-promotion/src/lib.rs
+++ b/crates/persimmon-promotion/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! - A token comes from a conditional write to the store, so that two daemons never hold the same.
 //! - A token that was refused is not used again.
+//! - A request without an answer may be carried out at any later time. Its token is used for no other
+//!   instance until the authority has answered a request of a higher one.
 //! - An accepted promotion request does not prove a promotion: the instances are queried
 //!   afterwards.
 //! - Safety depends only on the token and the instances; the timeouts here only affect how soon a
@@ -16,9 +18,10 @@
 mod candidate;
 mod coordinator;
 mod input;
+mod outstanding;
 mod record;
 
 pub use candidate::{Asked, choose_candidate, choose_from_closed_log};
 pub use coordinator::PromotionCoordinator;
-pub use input::{Action, Input, PrimaryInfo, ProbeFinding, PromotionReason};
+pub use input::{Action, Input, PrimaryInfo, ProbeFinding, PromotionReason, Request};
 pub use record::PromotionLockRecord;
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use persimmon_interfaces::{PromoteError, PromotionRequest};
-use persimmon_promotion::{Action, Input, PrimaryInfo, PromotionCoordinator};
+use persimmon_promotion::{Action, Input, PrimaryInfo, PromotionCoordinator, Request};
 use persimmon_types::{Clock, Time};
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -236,24 +236,22 @@
         Action::QueryInstances => query_instances(control, running).await,
         Action::CloseLog => close_log(control, running).await,
         Action::AcquireLock => acquire_lock(control, running, false).await,
-        Action::RequestPromotion { candidate, fencing_token } => {
-            request_promotion(control, running, candidate, fencing_token).await
-        }
+        Action::RequestPromotion(req) => request_promotion(control, running, req).await,
     }
 }
 
 async fn request_promotion(
     control: &Rc<Control>,
     running: &Rc<RunningCoordinator>,
-    candidate: Arc<str>,
-    fencing_token: u64,
+    req: Request,
 ) -> Input {
-    let service = &running.service;
+    let Request { candidate, fencing_token } = &req;
+    let (service, fencing_token) = (&running.service, *fencing_token);
     Metrics::increment(&control.metrics.promotions_ordered);
     announce_promotion(control, service, fencing_token);
     let request = PromotionRequest {
         service: Arc::clone(service),
-        instance: Arc::clone(&candidate),
+        instance: Arc::clone(candidate),
         coordinator: Arc::clone(&control.settings.name),
         fencing_token,
     };
@@ -263,8 +261,9 @@
     tracing::info!(%service, %candidate, token = fencing_token, ms, ?result,
         "a promotion was ordered");
     match result {
-        Ok(()) => Input::Accepted,
-        Err(PromoteError::Refused) => Input::Refused,
-        Err(PromoteError::Limited | PromoteError::Unanswered(_)) => Input::Unanswered,
+        Ok(()) => Input::Accepted(req),
+        Err(PromoteError::Refused) => Input::Refused(req),
+        Err(PromoteError::Limited | PromoteError::Unavailable(_)) => Input::NotDone(req),
+        Err(PromoteError::Unanswered(_)) => Input::Unanswered(req),
     }
 }
--- a/crates/persimmon-proxy/src/control/promotion_lock.rs
+++ b/crates/persimmon-proxy/src/control/promotion_lock.rs
@@ -44,7 +44,7 @@
         Ok(read) => read,
         Err(err) => {
             tracing::info!(%service, error = %err, "the promotion lock could not be read");
-            return Input::NotClaimed;
+            return Input::LockUnavailable;
         }
     };
     control.record_era(era, "read");
@@ -57,7 +57,7 @@
         tracing::info!(%service, holder = %before.holder, token = before.token, era,
             "another daemon acquired the promotion lock after the store was restored");
         running.lock_era.set(era);
-        return Input::Refused;
+        return Input::LockLost;
     }
     if let Some(before) = &before
         && before.incarnation != control.incarnation
@@ -65,12 +65,14 @@
     {
         tracing::info!(%service, holder = %before.holder, token = before.token,
             "another daemon recently acquired the promotion lock or requested a promotion");
-        return Input::NotClaimed;
+        return Input::LockLost;
     }
     let name = &control.settings.name;
     let record =
         PromotionLockRecord::acquired(before.as_ref(), era, name, control.incarnation, now);
     let fencing_token = record.token;
+    // A store that was restored may have lost the record of an earlier holder.
+    let is_first = object.is_none() && era == 0;
     let Ok(value) = serde_json::to_value(&record) else {
         return Input::NotClaimed;
     };
@@ -88,7 +90,7 @@
         Ok(_) => {
             running.lock_era.set(era);
             tracing::info!(%service, token = fencing_token, era, "this daemon holds the duty");
-            Input::Claimed { token: fencing_token }
+            Input::Claimed { token: fencing_token, is_first }
         }
         Err(StoreError::Unavailable(why)) => {
             let input = verify_lock(control, service, fencing_token, era, &why).await;
@@ -129,7 +131,11 @@
     });
     tracing::info!(%service, token = fencing_token, why, is_own,
         "the promotion lock write got no answer; the record was read back");
-    if is_own { Input::Claimed { token: fencing_token } } else { Input::NotClaimed }
+    if is_own {
+        Input::Claimed { token: fencing_token, is_first: false }
+    } else {
+        Input::NotClaimed
+    }
 }
 
 /// Records in the lock record that a promotion was requested, for other daemons; the request does
--- a/crates/persimmond/tests/synchronous_replication.rs
+++ b/crates/persimmond/tests/synchronous_replication.rs
@@ -69,3 +69,36 @@
     assert!(publish_until(&setup, &[0], || writers.acknowledged() > before + 50));
     setup.assert_no_violations();
 }
+
+/// Guards against a promotion request without an answer that is carried out after a later promotion.
+#[test]
+fn promotion_request_that_is_carried_out_late_does_not_undo_a_later_promotion() {
+    const DELAY: Duration = Duration::from_secs(9);
+    let mut setup = synchronous_setup("sync-late");
+    let writers = start_writers(&setup);
+    setup.cluster.store.delay_promotions(1, DELAY);
+    setup.cluster.add_instance(0).expect("an instance starts");
+
+    let is_replaced = publish_until(&setup, &[0], || {
+        setup.cluster.groups[0].0.primary().is_some_and(|primary| primary != 0)
+    });
+    let requested_at = Instant::now();
+    assert!(is_replaced);
+    let first = setup.cluster.groups[0].0.primary().expect("the group has a primary");
+    setup.cluster.add_instance(0).expect("an instance starts");
+    // The daemon that requested the first promotion is at rest again and requests the next one.
+    publish_for(&setup, &[0], Duration::from_secs(2));
+    let is_replaced = publish_until(&setup, &[0, first], || {
+        setup.cluster.groups[0].0.primary().is_some_and(|primary| primary != 0 && primary != first)
+    });
+    assert!(is_replaced && requested_at.elapsed() < DELAY);
+    let (group, _) = &setup.cluster.groups[0];
+    group.set_replication_paused(first, true);
+    let second = group.primary();
+    publish_for(&setup, &[0, first], DELAY);
+
+    assert_eq!(group.primary(), second);
+    let before = writers.acknowledged();
+    assert!(publish_until(&setup, &[0, first], || writers.acknowledged() > before + 50));
+    setup.assert_no_violations();
+}
