--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -9,7 +9,7 @@
 
 use persimmon_interfaces::{ObjectKind, ReadResult, StoreError};
 use persimmon_types::Clock;
-use persimmon_workspace::quota::FleetRecord;
+use persimmon_workspace::quota::{FleetRecord, RecordChange};
 use serde::Deserialize;
 
 use crate::control::Control;
@@ -38,23 +38,26 @@
         let Some(need) = fleet.take_need() else {
             continue;
         };
+        let read_at = Clock.now();
         match update(&control, &fleet, &need).await {
             Ok(record) => {
-                let size = record.size();
+                let latest = record.fleet();
                 tracing::info!(
-                    registered = size.registered,
-                    floor = size.floor,
+                    version = latest.version,
+                    registered = latest.registered(),
+                    floor = latest.floor(),
+                    retiring = ?latest.retiring(),
                     "the record of the fleet was read"
                 );
-                fleet.set(record);
+                fleet.set(record, read_at);
                 backoff = Backoff::new(ObjectKind::Fleet);
             }
             Err(err) => {
                 tracing::info!(error = %err, "the record of the fleet is not up to date");
                 for daemon in need.unregistered {
-                    fleet.request(Some(daemon), None);
+                    fleet.request(Some(daemon), RecordChange::default());
                 }
-                fleet.request(None, need.confirmed);
+                fleet.request(None, need.change);
                 backoff.pause().await;
             }
         }
@@ -83,7 +86,7 @@
     if newest.is_none() {
         members.extend(settled_members(control).await);
     }
-    let updated = FleetRecord::updated(newest.as_ref(), members, need.confirmed);
+    let updated = FleetRecord::updated(newest.as_ref(), members, &need.change);
     let is_stored = updated.is_none() && newest == stored;
     let record = updated.or(newest);
     let record = record.ok_or_else(|| StoreError::Refused("no daemon is known".to_owned()))?;
@@ -109,7 +112,7 @@
     // A record that cannot be read is not replaced, because daemons may rely on it.
     let record =
         record.map_err(|err| StoreError::Refused(format!("the record cannot be read: {err}")))?;
-    Ok(record.restored())
+    Ok(record)
 }
 
 /// The known daemons, once their number has not changed for a while or enough time has passed.
--- a/crates/persimmon-proxy/src/quota/exchange.rs
+++ b/crates/persimmon-proxy/src/quota/exchange.rs
@@ -8,7 +8,7 @@
 
 use persimmon_ownership::Member as Daemon;
 use persimmon_types::{Clock, Time, rendezvous_weight};
-use persimmon_workspace::quota::{Answer, Request};
+use persimmon_workspace::quota::{Answer, Fleet, RecordChange, Request};
 
 use crate::metrics::Metrics;
 use crate::peer_list::PeerList;
@@ -137,22 +137,23 @@
 }
 
 impl Quotas {
-    /// Takes over what the control thread has read of the fleet.
+    /// Takes over what the control thread has read of the fleet, and lets member and coordinator know
+    /// what the other one does.
     fn sync_fleet(&self, now: Time, own: &str) {
-        let (size, index) = self.fleet.find(own);
         let mut member = self.member.borrow_mut();
-        let is_news = member.learn(size, index);
-        let (size, is_registered) = (member.size(), member.index().is_some());
-        drop(member);
-        self.fleet.learn(size);
-        self.coordinator.borrow_mut().set_fleet(now, size, is_registered);
+        let mut coordinator = self.coordinator.borrow_mut();
+        let mut source = "member";
+        let mut is_news = member.learn(coordinator.fleet(), None, None);
+        if let Some((fleet, read_at)) = self.fleet.read() {
+            let is_read = member.learn(&fleet, self.fleet.index(own), Some(read_at));
+            is_news |= is_read;
+            source = if is_read { "store" } else { source };
+        }
+        self.fleet.learn(member.fleet());
+        let is_registered = member.index().is_some();
+        coordinator.set_fleet(now, member.fleet(), member.current_at(), is_registered);
         if is_news {
-            tracing::info!(
-                registered = size.registered,
-                floor = size.floor,
-                source = "store",
-                "the size of the fleet is known"
-            );
+            log_fleet(member.fleet(), source);
         }
     }
 
@@ -170,6 +171,17 @@
     }
 }
 
+fn log_fleet(fleet: &Fleet, source: &str) {
+    tracing::info!(
+        version = fleet.version,
+        registered = fleet.registered(),
+        floor = fleet.floor(),
+        retiring = ?fleet.retiring(),
+        source,
+        "the size of the fleet is known"
+    );
+}
+
 impl Worker {
     /// Answers a quota message of a daemon, as its coordinator. `None` if this daemon does not.
     pub(crate) fn answer_quota(&self, request: WireQuotaRequest) -> Option<WireQuotaAnswer> {
@@ -190,28 +202,22 @@
         let own: Arc<str> = Arc::from(self.settings.peers.to_string());
         quotas.sync_fleet(now, &own);
         let member: Option<Arc<str>> = member.map(|m| Arc::from(m.to_string()));
-        let found = member.as_ref().and_then(|m| quotas.fleet.find(m).1);
+        let found = member.as_ref().and_then(|m| quotas.fleet.index(m));
         let index = request.index.or(found);
         let snapshot = self.snapshot();
         let limit = |name: &str| limit_of(&snapshot, name, &quotas.bounds);
         let mut coordinator = quotas.coordinator.borrow_mut();
         let answer = coordinator.handle(now, request, index, limit);
-        let confirmed = coordinator.may_raise_floor().then_some(answer.size.registered);
+        let change = coordinator.due_change(now);
+        let needs_record = coordinator.needs_record(now) || !change.is_empty();
         drop(coordinator);
-        let mut own_state = quotas.member.borrow_mut();
-        if own_state.learn(answer.size, None) {
-            tracing::info!(
-                registered = answer.size.registered,
-                floor = answer.size.floor,
-                source = "member",
-                "the size of the fleet is known"
-            );
-        }
-        if own_state.index().is_none() {
-            quotas.fleet.request(Some(own), None);
+        quotas.sync_fleet(now, &own);
+        if quotas.member.borrow().index().is_none() {
+            quotas.fleet.request(Some(own), RecordChange::default());
         }
-        if index.is_none() || confirmed.is_some() {
-            quotas.fleet.request(member.filter(|_| index.is_none()), confirmed);
+        let unregistered = member.filter(|_| index.is_none());
+        if unregistered.is_some() || needs_record {
+            quotas.fleet.request(unregistered, change);
         }
         Some(answer)
     }
@@ -261,8 +267,7 @@
         let Some(quotas) = &self.quotas else {
             return;
         };
-        let (index, size) = (quotas.member.borrow().index(), quotas.member.borrow().size());
-        let request = Request { index, size, ..Request::default() };
+        let request = quotas.member.borrow().probe(Clock.now());
         let wire = WireQuotaRequest::new(&request, self.settings.peers);
         Metrics::increment(&self.metrics.quota_messages);
         let answer = self.call_quota(peer, wire, CALL_TIMEOUT).await;
@@ -312,13 +317,7 @@
         let now = Clock.now();
         let mut member = quotas.member.borrow_mut();
         if member.receive(now, sent_at, from, request, answer) {
-            let size = member.size();
-            tracing::info!(
-                registered = size.registered,
-                floor = size.floor,
-                source = "coordinator",
-                "the size of the fleet is known"
-            );
+            log_fleet(member.fleet(), "coordinator");
         }
         drop(member);
         quotas.deliver();
@@ -331,7 +330,7 @@
         };
         let own = self.settings.peers;
         let leased_to = quotas.member.borrow().leased_to(Clock.now()).filter(|a| *a != own);
-        let wire = WireQuotaRequest::new(&quotas.member.borrow().leave(), own);
+        let wire = WireQuotaRequest::new(&quotas.member.borrow().leave(Clock.now()), own);
         if let Some(coordinator) = leased_to {
             let answer = self.call_quota(coordinator, wire, LEAVE_TIMEOUT).await;
             tracing::info!(%coordinator, is_answered = answer.is_ok(),
--- a/crates/persimmon-proxy/src/quota/fleet_view.rs
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -4,7 +4,8 @@
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use persimmon_workspace::quota::{FleetRecord, FleetSize};
+use persimmon_types::Time;
+use persimmon_workspace::quota::{Fleet, FleetRecord, RecordChange, later_fleet};
 use tokio::sync::Notify;
 
 /// Daemons that are remembered until they are registered.
@@ -15,15 +16,17 @@
 pub(crate) struct FleetNeed {
     /// Daemons that may not be registered.
     pub(crate) unregistered: HashSet<Arc<str>>,
-    /// The size with which every registered daemon has leased, if that raises the record's floor.
-    pub(crate) confirmed: Option<u32>,
+    /// What this daemon, as the coordinator, wants changed.
+    pub(crate) change: RecordChange,
 }
 
 #[derive(Debug, Default)]
 struct State {
     record: Option<FleetRecord>,
-    /// The largest size that any daemon has told.
-    known: FleetSize,
+    /// When the call began that returned the record.
+    read_at: Option<Time>,
+    /// The latest version that any daemon has told.
+    known: Arc<Fleet>,
     need: Option<FleetNeed>,
 }
 
@@ -39,18 +42,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The size of the fleet in the record that was read last, and the index of a daemon.
-    pub(crate) fn find(&self, daemon: &str) -> (FleetSize, Option<u32>) {
+    /// The fleet according to the record that was read last, and when that was.
+    pub(crate) fn read(&self) -> Option<(Arc<Fleet>, Time)> {
         let state = self.lock();
-        let Some(record) = &state.record else {
-            return (FleetSize::default(), None);
-        };
-        (record.size(), record.index(daemon))
+        Some((Arc::clone(state.record.as_ref()?.fleet()), state.read_at?))
+    }
+
+    /// The index of a daemon, if it is still registered.
+    pub(crate) fn index(&self, daemon: &str) -> Option<u32> {
+        let state = self.lock();
+        let index = state.record.as_ref()?.index(daemon)?;
+        Some(index).filter(|index| state.known.contains(*index))
     }
 
-    /// Records a size of the fleet that this process has learned.
-    pub(crate) fn learn(&self, size: FleetSize) {
-        self.lock().known.merge(size);
+    /// Records a version of the fleet that this process has learned.
+    pub(crate) fn learn(&self, fleet: &Arc<Fleet>) {
+        let mut state = self.lock();
+        state.known = later_fleet(&state.known, fleet);
     }
 
     /// The record that replaces `stored`, or the stored one if it has all that is known. A store that
@@ -59,19 +67,21 @@
     pub(crate) fn newest(&self, stored: Option<FleetRecord>) -> Option<Option<FleetRecord>> {
         let state = self.lock();
         let has_all = |record: &Option<FleetRecord>| {
-            record.as_ref().map_or(0, |r| r.size().registered) >= state.known.registered
+            record.as_ref().map_or(0, |r| r.fleet().version) >= state.known.version
         };
         [stored, state.record.clone()].into_iter().find(has_all)
     }
 
     /// Requests that the record is read, and changed if it lacks something.
-    pub(crate) fn request(&self, daemon: Option<Arc<str>>, confirmed: Option<u32>) {
+    pub(crate) fn request(&self, daemon: Option<Arc<str>>, change: RecordChange) {
         let mut state = self.lock();
         let need = state.need.get_or_insert_default();
         if need.unregistered.len() < MAX_UNREGISTERED {
             need.unregistered.extend(daemon);
         }
-        need.confirmed = confirmed.or(need.confirmed);
+        if !change.is_empty() {
+            need.change = change;
+        }
         drop(state);
         self.needed.notify_one();
     }
@@ -83,25 +93,24 @@
         }
     }
 
-    /// What is needed and not in the record that was read last; `None` if that is nothing.
+    /// What is needed; `None` if that is nothing.
     pub(crate) fn take_need(&self) -> Option<FleetNeed> {
         let mut state = self.lock();
         let mut need = state.need.take()?;
+        let known = Arc::clone(&state.known);
         if let Some(record) = &state.record {
-            need.unregistered.retain(|daemon| record.index(daemon).is_none());
-            need.confirmed =
-                need.confirmed.filter(|_| record.size().floor < record.size().registered);
-            if need == FleetNeed::default() {
-                return None;
-            }
+            let is_registered =
+                |daemon: &Arc<str>| record.index(daemon).is_some_and(|index| known.contains(index));
+            need.unregistered.retain(|daemon| !is_registered(daemon));
         }
         Some(need)
     }
 
-    /// Sets the record as the store has it.
-    pub(crate) fn set(&self, record: FleetRecord) {
+    /// Sets the record as the store has it; the call that returned it began at `read_at`.
+    pub(crate) fn set(&self, record: FleetRecord, read_at: Time) {
         let mut state = self.lock();
-        state.known.merge(record.size());
+        state.known = later_fleet(&state.known, record.fleet());
         state.record = Some(record);
+        state.read_at = Some(read_at);
     }
 }
--- a/crates/persimmon-proxy/src/quota/mod.rs
+++ b/crates/persimmon-proxy/src/quota/mod.rs
@@ -175,8 +175,8 @@
             return String::new();
         };
         let member = quotas.member.borrow();
-        let size = member.size();
-        if size.registered == 0 {
+        let fleet = member.fleet();
+        if !fleet.is_known() {
             return "the size of the fleet is not known".to_owned();
         }
         let now = Clock.now();
@@ -185,7 +185,7 @@
         let leased_to = member.leased_to(now).map(|a| a.to_string());
         format!(
             "registered {}, leased to {}, last grant {} ms ago",
-            size.registered,
+            fleet.registered(),
             leased_to.as_deref().unwrap_or("none"),
             age.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
         )
--- a/crates/persimmon-proxy/src/quota/wire.rs
+++ b/crates/persimmon-proxy/src/quota/wire.rs
@@ -5,13 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_workspace::quota::{Answer, Claim, FleetSize, Grant, Request, Want};
+use persimmon_workspace::quota::{Answer, Claim, Fleet, Grant, Request, Want};
 use serde::{Deserialize, Serialize};
 
 fn is_false(value: &bool) -> bool {
     !value
 }
 
+/// An age in whole milliseconds, never less than it is.
+fn age_millis(age: Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1)
+}
+
 /// A request, see [`Request`].
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct WireQuotaRequest {
@@ -21,12 +26,17 @@
     /// The member's address for other daemons, if it knows no index.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     member: Option<SocketAddr>,
-    /// The size of the fleet: registered daemons and the floor.
-    #[serde(rename = "n")]
-    size: (u32, u32),
-    /// The coordinator's incarnation and its stamp.
+    /// The version of the fleet that it knows.
+    #[serde(rename = "v")]
+    version: u64,
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    fleet: Option<Arc<Fleet>>,
+    /// The age of the proof of that version, in milliseconds.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    proof_age: Option<u64>,
+    /// The coordinator's incarnation and its stamp, whether the share counts, and whether the vote does.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
-    claim: Option<(u32, u64)>,
+    claim: Option<(u32, u64, bool, bool)>,
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     is_leaving: bool,
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
@@ -40,8 +50,10 @@
         Self {
             index: request.index,
             member: request.index.is_none().then_some(own),
-            size: (request.size.registered, request.size.floor),
-            claim: request.claim.map(|c| (c.incarnation, c.stamp)),
+            version: request.version,
+            fleet: request.fleet.clone(),
+            proof_age: request.proof_age.map(age_millis),
+            claim: request.claim.map(|c| (c.incarnation, c.stamp, c.is_valid, c.is_voter)),
             is_leaving: request.is_leaving,
             wants: wants.collect(),
         }
@@ -49,12 +61,19 @@
 
     /// The request, and the member's address if it knows no index.
     pub(crate) fn received(self) -> (Request, Option<SocketAddr>) {
-        let (registered, floor) = self.size;
+        let claim = |(incarnation, stamp, is_valid, is_voter)| Claim {
+            incarnation,
+            stamp,
+            is_valid,
+            is_voter,
+        };
         let wants = self.wants.into_iter().map(|(workspace, tokens)| Want { workspace, tokens });
         let request = Request {
             index: self.index,
-            size: FleetSize { registered, floor },
-            claim: self.claim.map(|(incarnation, stamp)| Claim { incarnation, stamp }),
+            version: self.version,
+            fleet: self.fleet,
+            proof_age: self.proof_age.map(Duration::from_millis),
+            claim: self.claim.map(claim),
             is_leaving: self.is_leaving,
             wants: wants.collect(),
         };
@@ -68,8 +87,17 @@
     /// The coordinator's incarnation and its stamp.
     #[serde(rename = "c")]
     stamp: (u32, u64),
-    #[serde(rename = "n")]
-    size: (u32, u32),
+    /// The version of the fleet that it knows.
+    #[serde(rename = "v")]
+    version: u64,
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    fleet: Option<Arc<Fleet>>,
+    /// The age of the proof of that version, in milliseconds.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    proof_age: Option<u64>,
+    /// Whether it has a majority of the votes.
+    #[serde(rename = "a", default, skip_serializing_if = "is_false")]
+    is_majority: bool,
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     index: Option<u32>,
     /// Tokens and milliseconds after which to ask again, in the order of the request.
@@ -83,7 +111,10 @@
         let grants = answer.grants.iter().map(|g| (g.tokens, millis(g.retry_after)));
         Self {
             stamp: (answer.incarnation, answer.stamp),
-            size: (answer.size.registered, answer.size.floor),
+            version: answer.version,
+            fleet: answer.fleet,
+            proof_age: answer.proof_age.map(age_millis),
+            is_majority: answer.is_majority,
             index: answer.index,
             grants: grants.collect(),
         }
@@ -99,7 +130,10 @@
         Self {
             incarnation: wire.stamp.0,
             stamp: wire.stamp.1,
-            size: FleetSize { registered: wire.size.0, floor: wire.size.1 },
+            version: wire.version,
+            fleet: wire.fleet,
+            proof_age: wire.proof_age.map(Duration::from_millis),
+            is_majority: wire.is_majority,
             index: wire.index,
             grants: grants.collect(),
         }
--- a/crates/persimmon-workspace/src/quota/fleet.rs
+++ b/crates/persimmon-workspace/src/quota/fleet.rs
@@ -1,120 +1,143 @@
-//! The registered daemons of a fleet, and how many of them there are.
+//! The registered daemons of a fleet according to one version of its record.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-/// The size of the fleet according to one version of its record. Later versions are never less in
-/// either field.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FleetSize {
-    /// The number of registered daemons; zero if unknown.
-    pub registered: u32,
+/// A daemon that is about to lose its registration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Retiring {
+    /// Its index.
+    pub index: u32,
+    /// The version of the record that first named it here.
+    pub since: u64,
+    /// Whether daemons with most of the votes know that. It can't stay registered then.
+    pub is_known: bool,
+}
+
+/// The registered daemons according to one version of the record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The version; later ones are higher. Zero if none is known.
+    pub version: u64,
+    /// The indices of the registered daemons, ascending, as ranges of a first and a last one. An index
+    /// is never given out again.
+    ranges: Vec<(u32, u32)>,
+    /// Registered daemons that are about to be removed.
+    retiring: Vec<Retiring>,
     /// The least number of registered daemons on which a coordinator may still rely.
-    pub floor: u32,
+    floor: u32,
+    /// The part of a start credit that one lease brings is that of a fleet of this size, in which
+    /// daemons that were removed lately are included.
+    credit_base: u32,
 }
 
-impl FleetSize {
-    /// Takes over what another daemon knows; returns whether it was news.
-    pub fn merge(&mut self, other: Self) -> bool {
-        let before = *self;
-        self.registered = self.registered.max(other.registered);
-        self.floor = self.floor.max(other.floor.min(other.registered));
-        *self != before
+impl Fleet {
+    /// Creates a version with the ascending `indices`.
+    #[must_use]
+    pub fn new(version: u64, indices: impl IntoIterator<Item = u32>, floor: u32) -> Self {
+        let mut fleet = Self { version, floor, ..Self::default() };
+        fleet.set_indices(indices);
+        fleet.floor = floor.min(fleet.registered());
+        fleet.credit_base = fleet.registered();
+        fleet
     }
 
-    /// The part of every quota that a coordinator with `leases` leases may grant. A share that is
-    /// not leased to it counts as the largest that another coordinator may take it for.
-    #[must_use]
-    pub fn fill(&self, leases: usize) -> f64 {
-        if self.registered == 0 || self.floor == 0 {
-            return 0.0;
+    pub(crate) fn with_retiring(mut self, retiring: Vec<Retiring>) -> Self {
+        self.retiring = retiring;
+        self
+    }
+
+    pub(crate) fn with_credit_base(mut self, credit_base: u32) -> Self {
+        self.credit_base = self.credit_base.max(credit_base);
+        self
+    }
+
+    fn set_indices(&mut self, indices: impl IntoIterator<Item = u32>) {
+        for index in indices {
+            match self.ranges.last_mut() {
+                Some((_, last)) if last.checked_add(1) == Some(index) => *last = index,
+                _ => self.ranges.push((index, index)),
+            }
         }
-        let leases = f64::from(u32::try_from(leases).unwrap_or(u32::MAX).min(self.registered));
-        let missing = f64::from(self.registered) - leases;
-        (1.0 - missing / f64::from(self.floor)).clamp(0.0, 1.0)
     }
-}
 
-/// The record of the fleet in the store. Daemons are only added.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FleetRecord {
-    /// The daemons; the position of one is its index.
-    #[serde(rename = "daemons")]
-    members: Vec<Arc<str>>,
-    /// See [`FleetSize::floor`].
-    floor: u32,
-    #[serde(skip)]
-    indices: HashMap<Arc<str>, u32>,
-}
+    /// Whether any version is known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.version > 0
+    }
 
-impl FleetRecord {
-    /// Creates the first record of a fleet.
+    /// The number of registered daemons.
     #[must_use]
-    pub fn new(members: impl IntoIterator<Item = Arc<str>>) -> Self {
-        let mut record = Self::default();
-        record.register(members);
-        record.floor = record.size().registered;
-        record
+    pub fn registered(&self) -> u32 {
+        let sizes = self.ranges.iter().map(|(first, last)| last.saturating_sub(*first) + 1);
+        sizes.fold(0, u32::saturating_add)
     }
 
-    /// Restores what is not stored, and limits the floor to what a record may have.
+    /// The least number of registered daemons on which a coordinator may still rely.
     #[must_use]
-    pub fn restored(mut self) -> Self {
-        let members = std::mem::take(&mut self.members);
-        self.register(members);
-        self.floor = self.floor.clamp(1, self.size().registered.max(1));
-        self
+    pub fn floor(&self) -> u32 {
+        self.floor
     }
 
-    /// Adds daemons; returns whether one was new.
-    pub fn register(&mut self, members: impl IntoIterator<Item = Arc<str>>) -> bool {
-        let before = self.members.len();
-        for member in members {
-            if self.indices.contains_key(&member) {
-                continue;
-            }
-            let index = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-            self.indices.insert(Arc::clone(&member), index);
-            self.members.push(member);
-        }
-        self.members.len() > before
+    /// See the field.
+    #[must_use]
+    pub(crate) fn credit_base(&self) -> u32 {
+        self.credit_base.max(1)
     }
 
-    /// The record to write instead of the stored one; `None` if that may stay. `members` are the
-    /// known daemons. `confirmed` is the number of registered daemons that all of them have leased
-    /// with; if the stored record has it, no coordinator relies on an older record.
+    /// Whether a daemon is registered.
     #[must_use]
-    pub fn updated(
-        stored: Option<&Self>,
-        members: impl IntoIterator<Item = Arc<str>>,
-        confirmed: Option<u32>,
-    ) -> Option<Self> {
-        let Some(stored) = stored else {
-            let first = Self::new(members);
-            return Some(first).filter(|record| record.size().registered > 0);
-        };
-        let mut record = stored.clone();
-        let is_confirmed = confirmed == Some(stored.size().registered);
-        let is_raised = is_confirmed && stored.floor < stored.size().registered;
-        if is_raised {
-            record.floor = stored.size().registered;
-        }
-        let has_grown = record.register(members);
-        (has_grown || is_raised).then_some(record)
+    pub fn contains(&self, index: u32) -> bool {
+        let at = self.ranges.partition_point(|(_, last)| *last < index);
+        self.ranges.get(at).is_some_and(|(first, _)| *first <= index)
     }
 
-    /// The index of a daemon.
+    /// The indices of the registered daemons.
+    pub fn indices(&self) -> impl Iterator<Item = u32> {
+        self.ranges.iter().flat_map(|(first, last)| *first..=*last)
+    }
+
+    /// The daemons that are about to be removed.
     #[must_use]
-    pub fn index(&self, member: &str) -> Option<u32> {
-        self.indices.get(member).copied()
+    pub fn retiring(&self) -> &[Retiring] {
+        &self.retiring
     }
 
-    /// The size of the fleet.
+    /// Whether a daemon is about to be removed.
     #[must_use]
-    pub fn size(&self) -> FleetSize {
-        let registered = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        FleetSize { registered, floor: self.floor }
+    pub fn is_retiring(&self, index: u32) -> bool {
+        self.retiring.iter().any(|r| r.index == index)
     }
+
+    /// The part of every quota that a coordinator with `leases` valid leases may grant. A share that is
+    /// not leased to it counts as the largest that another coordinator may take it for.
+    #[must_use]
+    pub fn fill(&self, leases: usize) -> f64 {
+        part(self.registered(), self.floor, leases)
+    }
+
+    /// Whether no other coordinator can have a majority of the votes while one has `votes`.
+    #[must_use]
+    pub fn is_majority(&self, votes: usize) -> bool {
+        let known = self.retiring.iter().filter(|r| r.is_known).count();
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        part(self.registered().saturating_sub(known), self.floor, votes) > 0.5
+    }
+}
+
+fn part(registered: u32, floor: u32, leases: usize) -> f64 {
+    if registered == 0 || floor == 0 {
+        return 0.0;
+    }
+    let leases = u32::try_from(leases).unwrap_or(u32::MAX).min(registered);
+    let missing = f64::from(registered) - f64::from(leases);
+    (1.0 - missing / f64::from(floor)).clamp(0.0, 1.0)
+}
+
+/// The later one of two versions.
+#[must_use]
+pub fn later_fleet(a: &Arc<Fleet>, b: &Arc<Fleet>) -> Arc<Fleet> {
+    Arc::clone(if b.version > a.version { b } else { a })
 }
--- a/crates/persimmon-workspace/src/quota/limit.rs
+++ b/crates/persimmon-workspace/src/quota/limit.rs
@@ -8,6 +8,14 @@
 /// rests.
 pub const LEASE_TIME: Duration = Duration::from_millis(1_200);
 
+/// How long after its proof a registration is valid, by the clock of its daemon. A daemon that gets no
+/// proof has ended its leases by then.
+pub const REGISTRATION_TIME: Duration = Duration::from_millis(3_000);
+
+/// How long a coordinator with a majority of the votes proves registrations without a version of the
+/// record that was current.
+pub const RECORD_TIME: Duration = Duration::from_secs(300);
+
 /// The longest time for which a token is valid. Longer ones save few messages.
 pub const MAX_VALIDITY: Duration = Duration::from_secs(2);
 
--- a/crates/persimmon-workspace/src/quota/member.rs
+++ b/crates/persimmon-workspace/src/quota/member.rs
@@ -8,9 +8,10 @@
 use persimmon_types::Time;
 
 use crate::quota::account::{Account, Decision, Token};
-use crate::quota::fleet::FleetSize;
+use crate::quota::fleet::Fleet;
 use crate::quota::limit::{LEASE_TIME, Limit};
 use crate::quota::message::{Answer, Claim, Request, Want};
+use crate::quota::registration::Registration;
 
 /// How often a lease is renewed: twice within its time, so that one lost message does not end it.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
@@ -40,6 +41,8 @@
     holder: Holder,
     stamp: u64,
     received_at: Time,
+    /// The version of the fleet that it knows.
+    version: u64,
 }
 
 /// What a member has of one workspace.
@@ -55,8 +58,7 @@
 #[derive(Debug)]
 pub struct Member {
     started_at: Time,
-    size: FleetSize,
-    index: Option<u32>,
+    registration: Registration,
     /// The process to which the share is leased, or was leased last.
     holder: Option<Holder>,
     lease_end: Time,
@@ -82,8 +84,7 @@
     pub fn new(now: Time) -> Self {
         Self {
             started_at: now,
-            size: FleetSize::default(),
-            index: None,
+            registration: Registration::new(now),
             holder: None,
             lease_end: now,
             lease_began: None,
@@ -99,22 +100,37 @@
         }
     }
 
-    /// The size of the fleet that it knows.
+    /// The version of the fleet that it knows.
     #[must_use]
-    pub fn size(&self) -> FleetSize {
-        self.size
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        self.registration.fleet()
     }
 
     /// Its index in the record of the fleet.
     #[must_use]
     pub fn index(&self) -> Option<u32> {
-        self.index
+        self.registration.index()
     }
 
-    /// Takes over what is known of the fleet; returns whether the size was news.
-    pub fn learn(&mut self, size: FleetSize, index: Option<u32>) -> bool {
-        self.index = self.index.or(index);
-        self.size.merge(size)
+    /// A time at which the version of the fleet that it knows was not outdated.
+    #[must_use]
+    pub fn current_at(&self) -> Option<Time> {
+        self.registration.current_at()
+    }
+
+    /// Takes over what is known of the fleet; returns whether the version was news. `current_at` is a
+    /// time at which that version was not outdated.
+    pub fn learn(
+        &mut self,
+        fleet: &Arc<Fleet>,
+        index: Option<u32>,
+        current_at: Option<Time>,
+    ) -> bool {
+        let is_news = self.registration.learn(fleet, index);
+        if let Some(at) = current_at {
+            self.registration.record_current(at);
+        }
+        is_news
     }
 
     /// The coordinator to which the share is leased at `now`.
@@ -206,7 +222,8 @@
         self.renew_at = now + RENEWAL_INTERVAL;
         self.top_up_at = now + TOP_UP_INTERVAL;
         let claim = self.claim(now, coordinator);
-        Some(Request { index: self.index, size: self.size, claim, is_leaving: false, wants })
+        let request = self.request(now, coordinator);
+        Some(Request { claim, wants, ..request })
     }
 
     /// The message that ends the lease at its coordinator before the share is leased to another one,
@@ -221,7 +238,7 @@
             return None;
         }
         self.is_releasing = true;
-        Some((holder, self.leave()))
+        Some((holder, self.leave(now)))
     }
 
     /// Records that a request got no answer. It may still arrive.
@@ -232,9 +249,23 @@
 
     /// The message by which a daemon that shuts down ends its lease.
     #[must_use]
-    pub fn leave(&self) -> Request {
-        let (index, size) = (self.index, self.size);
-        Request { index, size, claim: None, is_leaving: true, wants: Vec::new() }
+    pub fn leave(&self, now: Time) -> Request {
+        Request { is_leaving: true, ..self.probe(now) }
+    }
+
+    /// A message that leases and requests nothing.
+    #[must_use]
+    pub fn probe(&self, now: Time) -> Request {
+        let proof_age = self.registration.current_at().map(|at| now.since(at));
+        let (index, version) = (self.index(), self.fleet().version);
+        Request { index, version, proof_age, ..Request::default() }
+    }
+
+    fn request(&self, now: Time, coordinator: SocketAddr) -> Request {
+        let known = self.contact.filter(|c| c.holder.address == coordinator).map(|c| c.version);
+        let is_news = known.is_some_and(|version| version < self.fleet().version);
+        let fleet = is_news.then(|| Arc::clone(self.fleet()));
+        Request { fleet, ..self.probe(now) }
     }
 
     fn wants(&mut self, now: Time) -> (Vec<Want>, bool) {
@@ -268,7 +299,7 @@
     /// Leases the share to a coordinator, if it may be leased to it.
     fn claim(&mut self, now: Time, coordinator: SocketAddr) -> Option<Claim> {
         let contact = self.contact.filter(|c| c.holder.address == coordinator)?;
-        self.index?;
+        self.index()?;
         if now.since(contact.received_at) > MAX_STAMP_AGE {
             return None;
         }
@@ -284,12 +315,17 @@
         self.is_releasing = false;
         // The coordinator made the stamp before this daemon received it.
         self.lease_end = self.lease_end.max(contact.received_at + LEASE_TIME);
-        Some(Claim { incarnation: contact.holder.incarnation, stamp: contact.stamp })
+        Some(Claim {
+            incarnation: contact.holder.incarnation,
+            stamp: contact.stamp,
+            is_valid: self.registration.is_valid_until(contact.received_at + LEASE_TIME),
+            is_voter: self.registration.is_voter(),
+        })
     }
 
     /// Handles the answer to a request that was sent at `sent_at`; at most one request has neither an
     /// answer nor been recorded as lost. Returns whether it
-    /// tells a larger size of the fleet.
+    /// tells a later version of the fleet.
     pub fn receive(
         &mut self,
         now: Time,
@@ -301,9 +337,18 @@
         let holder = Holder { address: coordinator, incarnation: answer.incarnation };
         let is_newer = self.contact.is_none_or(|c| c.holder != holder || c.stamp < answer.stamp);
         if is_newer {
-            self.contact = Some(Contact { holder, stamp: answer.stamp, received_at: now });
+            let (stamp, version) = (answer.stamp, answer.version);
+            self.contact = Some(Contact { holder, stamp, received_at: now, version });
+        }
+        let was_valid = self.registration.is_valid_until(now + LEASE_TIME);
+        let learned = answer.fleet.clone().unwrap_or_else(|| Arc::clone(self.fleet()));
+        let is_news = self.registration.learn(&learned, answer.index);
+        self.registration.record_answer(sent_at, answer);
+        let is_valid = self.registration.is_valid_until(now + LEASE_TIME);
+        if is_news || answer.version < self.fleet().version || (is_valid && !was_valid) {
+            // The coordinator waits for what this daemon knows, and for its share.
+            self.renew_at = now;
         }
-        let is_news = self.learn(answer.size, answer.index);
         if request.is_leaving && self.is_releasing && self.holder == Some(holder) {
             // No message of this daemon is on its way that could extend the lease again.
             self.is_releasing = false;
@@ -312,7 +357,7 @@
         }
         // A first answer has the stamp on which a lease can rest.
         let is_free = now >= self.lease_end && now >= self.started_at + LEASE_TIME;
-        if request.claim.is_none() && self.index.is_some() && is_free {
+        if request.claim.is_none() && self.index().is_some() && is_free {
             self.renew_at = now;
         }
         for (want, grant) in request.wants.iter().zip(&answer.grants) {
--- a/crates/persimmon-workspace/src/quota/message.rs
+++ b/crates/persimmon-workspace/src/quota/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::quota::fleet::FleetSize;
+use crate::quota::fleet::Fleet;
 
 /// The lease of a member's share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +12,11 @@
     pub incarnation: u32,
     /// The stamp of that coordinator, on its own clock in microseconds, from which the lease runs.
     pub stamp: u64,
+    /// Whether the member's registration is proved until the lease ends, so that its share counts.
+    pub is_valid: bool,
+    /// Whether the member knows a version of the record that was current after its start, so that its
+    /// vote counts.
+    pub is_voter: bool,
 }
 
 /// The tokens of one workspace that a member requests.
@@ -28,8 +33,12 @@
 pub struct Request {
     /// The member's index, if it knows it.
     pub index: Option<u32>,
-    /// The size of the fleet that it knows.
-    pub size: FleetSize,
+    /// The version of the fleet that it knows.
+    pub version: u64,
+    /// That version, if the coordinator is known to have an earlier one.
+    pub fleet: Option<Arc<Fleet>>,
+    /// How long ago that version was not yet outdated; `None` if unknown.
+    pub proof_age: Option<Duration>,
     /// The lease of its share; `None` if it leases nothing with this message.
     pub claim: Option<Claim>,
     /// Whether its lease ends with this message.
@@ -54,8 +63,14 @@
     pub incarnation: u32,
     /// The time of the answer on the coordinator's clock in microseconds.
     pub stamp: u64,
-    /// The size of the fleet that it knows.
-    pub size: FleetSize,
+    /// The version of the fleet that it knows.
+    pub version: u64,
+    /// That version, if the member has an earlier one.
+    pub fleet: Option<Arc<Fleet>>,
+    /// How long ago that version was not yet outdated; `None` if unknown.
+    pub proof_age: Option<Duration>,
+    /// Whether it has a majority of the votes, so that no daemon is removed without its knowledge.
+    pub is_majority: bool,
     /// The member's index, if the member did not know it.
     pub index: Option<u32>,
     /// What is granted, in the order of the request.
--- a/crates/persimmon-workspace/tests/quota_fleet/mod.rs
+++ b/crates/persimmon-workspace/tests/quota_fleet/mod.rs
@@ -9,7 +9,7 @@
 use persimmon_types::Time;
 use persimmon_workspace::Quota;
 use persimmon_workspace::quota::{
-    Answer, Bounds, Coordinator, Decision, FleetRecord, Limit, Member, Request, Token,
+    Answer, Bounds, Coordinator, Decision, FleetRecord, Limit, Member, Request, Token, later_fleet,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -37,9 +37,9 @@
 enum Event {
     Request { from: usize, life: u64, sent_at: Time, request: Request },
     Answer { from: usize, life: u64, sent_at: Time, request: Request, answer: Answer },
-    Read { life: u64 },
-    Write { life: u64, expect: u64, record: FleetRecord },
-    Learn { life: u64, record: FleetRecord },
+    Read { life: u64, sent_at: Time },
+    Write { life: u64, sent_at: Time, expect: u64, record: FleetRecord },
+    Learn { life: u64, sent_at: Time, record: FleetRecord },
 }
 
 #[derive(Debug)]
@@ -47,6 +47,10 @@
     life: u64,
     offset: u64,
     pub is_up: bool,
+    /// Whether its host is gone for good.
+    is_gone: bool,
+    /// When a host that is cut off from everything is back.
+    returns_at: Option<u64>,
     pub frozen_until: u64,
     pub group: u8,
     pub sees_store: bool,
@@ -64,6 +68,17 @@
     pub version: usize,
 }
 
+impl Daemon {
+    /// Lets the coordinator know what the member knows of the fleet, and the other way round.
+    fn sync_fleet(&mut self, now: Time) {
+        let fleet = later_fleet(self.member.fleet(), self.coordinator.fleet());
+        let current_at = self.member.current_at();
+        self.member.learn(&fleet, None, None);
+        let is_registered = self.member.index().is_some();
+        self.coordinator.set_fleet(now, &fleet, current_at, is_registered);
+    }
+}
+
 /// How the network and the statements behave.
 #[derive(Clone, Copy, Debug)]
 pub struct Weather {
@@ -148,6 +163,8 @@
             life: self.rng.random(),
             offset,
             is_up: true,
+            is_gone: false,
+            returns_at: None,
             frozen_until: 0,
             group: 0,
             sees_store: true,
@@ -167,6 +184,9 @@
 
     /// Ends the process of a daemon, which loses everything it knows, and starts another.
     pub fn restart(&mut self, index: usize) {
+        if self.daemons[index].is_gone {
+            return;
+        }
         let (offset, group) = (self.daemons[index].offset, self.daemons[index].group);
         let sees_store = self.daemons[index].sees_store;
         let mut daemon = self.new_daemon(offset);
@@ -175,6 +195,40 @@
         self.daemons[index] = daemon;
     }
 
+    /// Stops or starts a daemon's process without a loss of its state.
+    pub fn toggle(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        daemon.is_up = !daemon.is_up && !daemon.is_gone;
+    }
+
+    /// Replaces a host by another one at another address.
+    pub fn replace(&mut self, index: usize) {
+        self.daemons[index].is_up = false;
+        self.daemons[index].is_gone = true;
+        self.add_daemon();
+    }
+
+    /// Adds a host in place of one that is only cut off, and back after `time`.
+    pub fn replace_cut_off(&mut self, index: usize, time: u64) {
+        /// No other daemon is in it.
+        const CUT_OFF: u8 = 100;
+        let returns_at = self.now + time;
+        let daemon = &mut self.daemons[index];
+        (daemon.group, daemon.sees_store) = (CUT_OFF, false);
+        daemon.returns_at = Some(returns_at);
+        self.add_daemon();
+    }
+
+    /// The hosts that are not gone for good.
+    pub fn hosts(&self) -> Vec<usize> {
+        (0..self.daemons.len()).filter(|index| !self.daemons[*index].is_gone).collect()
+    }
+
+    /// The record of the fleet in the store.
+    pub fn record(&self) -> Option<&FleetRecord> {
+        self.store.as_ref()
+    }
+
     /// Limits how many daemons each one knows, as while a fleet starts.
     pub fn limit_knowledge(&mut self, knows: usize) {
         for daemon in &mut self.daemons {
@@ -255,6 +309,7 @@
         let is_candidate = |other: &usize| {
             *other == daemon
                 || (*other < me.knows
+                    && !self.daemons[*other].is_gone
                     && me.passed_over.get(other).is_none_or(|until| *until <= self.now))
         };
         (0..self.daemons.len()).find(is_candidate).unwrap_or(daemon)
@@ -277,6 +332,10 @@
             }
         }
         for daemon in 0..self.daemons.len() {
+            if self.daemons[daemon].returns_at.is_some_and(|at| at <= self.now) {
+                let back = &mut self.daemons[daemon];
+                (back.group, back.sees_store, back.returns_at) = (0, true, None);
+            }
             if self.daemons[daemon].is_up && self.daemons[daemon].frozen_until <= self.now {
                 self.run(daemon);
             }
@@ -376,11 +435,11 @@
                 daemon.passed_over.remove(&from);
                 self.take_decided(target);
             }
-            Event::Read { life } => self.read_record(target, life),
-            Event::Write { life, expect, record } => {
-                self.write_record(target, life, expect, record);
+            Event::Read { life, sent_at } => self.read_record(target, life, sent_at),
+            Event::Write { life, sent_at, expect, record } => {
+                self.write_record(target, life, sent_at, expect, record);
             }
-            Event::Learn { life, record } => {
+            Event::Learn { life, sent_at, record } => {
                 let now = self.local(target);
                 let daemon = &mut self.daemons[target];
                 if daemon.life != life {
@@ -389,9 +448,8 @@
                 daemon.is_registering = false;
                 daemon.unregistered.clear();
                 let index = record.index(&name(target));
-                daemon.member.learn(record.size(), index);
-                let size = daemon.member.size();
-                daemon.coordinator.set_fleet(now, size, daemon.member.index().is_some());
+                daemon.member.learn(record.fleet(), index, Some(sent_at));
+                daemon.sync_fleet(now);
                 daemon.record = Some(record);
             }
         }
@@ -404,22 +462,25 @@
         let names = &self.names;
         let find = |n: &str| limits.iter().zip(names).find(|(_, o)| &***o == n).map(|(l, _)| *l);
         let daemon = &mut self.daemons[target];
-        let (size, is_registered) = (daemon.member.size(), daemon.member.index().is_some());
-        daemon.coordinator.set_fleet(now, size, is_registered);
+        daemon.sync_fleet(now);
         let found = daemon.record.as_ref().and_then(|r| r.index(&name(from)));
         let index = request.index.or(found);
+        let index = index.filter(|index| daemon.member.fleet().contains(*index));
         if index.is_none() {
             daemon.unregistered.insert(from);
         }
         let answer = daemon.coordinator.handle(now, request, index, find);
-        let size = daemon.coordinator.size();
-        daemon.member.learn(size, None);
-        let needs = index.is_none() || !is_registered || daemon.coordinator.may_raise_floor();
+        let fleet = Arc::clone(daemon.coordinator.fleet());
+        daemon.member.learn(&fleet, None, daemon.coordinator.current_at());
+        let needs = index.is_none()
+            || daemon.member.index().is_none()
+            || daemon.coordinator.needs_record(now)
+            || !daemon.coordinator.due_change(now).is_empty();
         if needs && !daemon.is_registering && daemon.sees_store {
             daemon.is_registering = true;
             let life = daemon.life;
             let delay = self.store_delay();
-            self.push(delay, target, Event::Read { life });
+            self.push(delay, target, Event::Read { life, sent_at: now });
         }
         answer
     }
@@ -429,7 +490,8 @@
         self.rng.random_range(5_000..60_000)
     }
 
-    fn read_record(&mut self, target: usize, life: u64) {
+    fn read_record(&mut self, target: usize, life: u64, sent_at: Time) {
+        let now = self.local(target);
         let daemon = &mut self.daemons[target];
         if daemon.life != life {
             return;
@@ -440,23 +502,29 @@
         }
         let known: Vec<Arc<str>> =
             daemon.unregistered.iter().chain(&[target]).map(|index| name(*index)).collect();
-        let confirmed = daemon.coordinator.may_raise_floor();
-        let confirmed = confirmed.then_some(daemon.coordinator.size().registered);
+        let change = daemon.coordinator.due_change(now);
         let stored = self.store.clone();
         let delay = self.store_delay();
-        match FleetRecord::updated(stored.as_ref(), known, confirmed) {
+        match FleetRecord::updated(stored.as_ref(), known, &change) {
             Some(record) => {
                 let expect = self.store_version;
-                self.push(delay, target, Event::Write { life, expect, record });
+                self.push(delay, target, Event::Write { life, sent_at, expect, record });
             }
             None => {
                 let record = stored.expect("a record");
-                self.push(delay, target, Event::Learn { life, record });
+                self.push(delay, target, Event::Learn { life, sent_at, record });
             }
         }
     }
 
-    fn write_record(&mut self, target: usize, life: u64, expect: u64, record: FleetRecord) {
+    fn write_record(
+        &mut self,
+        target: usize,
+        life: u64,
+        sent_at: Time,
+        expect: u64,
+        record: FleetRecord,
+    ) {
         let is_written = expect == self.store_version;
         if is_written {
             self.store = Some(record.clone());
@@ -470,10 +538,17 @@
         let is_answered = !self.weather.is_adverse || self.rng.random_bool(0.8);
         if is_written && is_answered {
             let delay = self.store_delay();
-            self.push(delay, target, Event::Learn { life, record });
+            self.push(delay, target, Event::Learn { life, sent_at, record });
         }
     }
 
+    /// The sum of what all coordinators grant at present, as a part of each quota.
+    pub fn total_fill(&self) -> f64 {
+        let is_running = |d: &Daemon| d.is_up && d.frozen_until <= self.now;
+        let indices = (0..self.daemons.len()).filter(|index| is_running(&self.daemons[*index]));
+        indices.map(|index| self.daemons[index].coordinator.fill(self.local(index))).sum()
+    }
+
     /// The largest number of operations of a workspace in a window that ends after `from`, beyond
     /// the bound; not positive where the bound holds.
     pub fn excess(&mut self, workspace: usize, quota: Quota, from: u64) -> f64 {
--- a/crates/persimmon-workspace/tests/quota_model.rs
+++ b/crates/persimmon-workspace/tests/quota_model.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 /// Simulated time of one run with faults, in microseconds.
-const RUN: u64 = 24_000_000;
+const RUN: u64 = 40_000_000;
 
 fn bounds() -> Bounds {
     Bounds { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 }
@@ -34,7 +34,7 @@
     let count = fleet.daemons.len();
     let one = fleet.rng.random_range(0..count);
     let now = fleet.now;
-    match fleet.rng.random_range(0..14) {
+    match fleet.rng.random_range(0..18) {
         0 | 1 => fleet.restart(one),
         2 => (0..count).for_each(|index| fleet.restart(index)),
         3 => {
@@ -62,7 +62,7 @@
             }
         }
         9 => fleet.daemons.iter_mut().for_each(|d| d.group = 0),
-        10 => fleet.daemons[one].is_up = !fleet.daemons[one].is_up,
+        10 => fleet.toggle(one),
         11 => {
             fleet.weather.max_delay = fleet.rng.random_range(2_000..3_000_000);
             fleet.weather.loss = fleet.rng.random_range(0.0..0.3);
@@ -72,11 +72,27 @@
                 fleet.daemons[index].sees_store = fleet.rng.random_bool(0.5);
             }
         }
-        _ => {
+        13 => {
             if count < 60 {
                 fleet.add_daemon();
             }
         }
+        // One host or two are replaced, each gone for good or only cut off for a while.
+        _ => {
+            for _ in 0..fleet.rng.random_range(1..=2) {
+                let hosts = fleet.hosts();
+                let one = hosts[fleet.rng.random_range(0..hosts.len())];
+                if count >= 90 {
+                    return;
+                }
+                if fleet.rng.random_bool(0.5) {
+                    fleet.replace(one);
+                } else {
+                    let time = fleet.rng.random_range(500_000..12_000_000);
+                    fleet.replace_cut_off(one, time);
+                }
+            }
+        }
     }
 }
 
@@ -125,6 +141,8 @@
         }
         load(&mut fleet, &factors, &hot);
         fleet.step();
+        let fill = fleet.total_fill();
+        assert!(fill <= 1.0 + 1e-9, "seed {seed}: coordinators grant {fill} of each quota");
     }
     for workspace in 0..5 {
         let quota = fleet.quotas[0][workspace];
@@ -277,3 +295,130 @@
         assert!(in_split > 0, "both sides are refused everything");
     }
 }
+
+/// Lets a fleet run with a load of half of the rate at the hosts that are not gone; returns how many
+/// operations were asked for and refused.
+fn run_at_half_rate(fleet: &mut Fleet, time: u64) -> (u64, u64) {
+    let (asked, refused) = (fleet.asked[0], fleet.refused[0]);
+    let end = fleet.now + time;
+    while fleet.now < end {
+        let hosts = fleet.hosts();
+        let one = hosts[fleet.rng.random_range(0..hosts.len())];
+        load(fleet, &[0.5], &[one]);
+        fleet.step();
+    }
+    (fleet.asked[0] - asked, fleet.refused[0] - refused)
+}
+
+/// Guards against review case 8: hosts that are gone for good keep their shares.
+#[test]
+fn hosts_that_are_replaced_for_good_leave_no_share_behind() {
+    for (seed, count) in [(1, 3), (2, 4), (3, 12), (4, 3), (5, 6)] {
+        let mut fleet = Fleet::new(seed, count, vec![quota(100.0, 20.0)], bounds());
+        run_at_half_rate(&mut fleet, 8_000_000);
+        for round in 0..20 {
+            // The first one coordinates; the next ones take its place.
+            let hosts = fleet.hosts();
+            fleet.replace(hosts[round % 3]);
+            run_at_half_rate(&mut fleet, 10_000_000);
+        }
+
+        let (asked, refused) = run_at_half_rate(&mut fleet, 20_000_000);
+
+        assert!(refused * 20 < asked, "{count} hosts: {refused} of {asked} refused");
+        let registered = fleet.record().map_or(0, |record| record.fleet().registered());
+        let stored = serde_json::to_string(&fleet.record()).expect("JSON").len();
+        assert_eq!(usize::try_from(registered), Ok(count));
+        assert!(stored < 200 + 40 * count, "{stored} bytes");
+        let excess = fleet.excess(0, quota(100.0, 20.0), 0);
+        assert!(excess <= 0.0, "{count} hosts: {excess} over the bound");
+    }
+}
+
+/// Guards against a workspace below its quota that is refused for long after a replacement.
+#[test]
+fn one_replacement_is_noticed_for_seconds_only() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::new(seed, 3, vec![quota(100.0, 20.0)], bounds());
+        run_at_half_rate(&mut fleet, 8_000_000);
+        let coordinator = fleet.hosts()[0];
+        fleet.replace(coordinator);
+        run_at_half_rate(&mut fleet, 3_000_000);
+
+        let (asked, refused) = run_at_half_rate(&mut fleet, 10_000_000);
+
+        assert!(refused * 20 < asked, "seed {seed}: {refused} of {asked} refused");
+        let registered = fleet.record().map_or(0, |record| record.fleet().registered());
+        assert_eq!(registered, 3, "seed {seed}");
+    }
+}
+
+/// Guards against a fleet that loses most of its hosts at once and never gets its whole rate again.
+#[test]
+fn loss_of_most_hosts_is_overcome() {
+    let mut fleet = Fleet::new(9, 3, vec![quota(100.0, 20.0)], bounds());
+    run_at_half_rate(&mut fleet, 8_000_000);
+    for host in fleet.hosts() {
+        fleet.replace(host);
+    }
+    run_at_half_rate(&mut fleet, 360_000_000);
+
+    let (asked, refused) = run_at_half_rate(&mut fleet, 10_000_000);
+
+    assert!(refused * 20 < asked, "{refused} of {asked} refused");
+    assert_eq!(fleet.record().map_or(0, |record| record.fleet().registered()), 3);
+}
+
+/// Guards against a host that was removed, is only cut off, and grants its share again.
+#[test]
+fn the_bound_holds_when_replaced_hosts_come_back() {
+    for seed in 0..40 {
+        let rate = quota(200.0, 0.0);
+        let mut fleet = Fleet::new(seed, 3, vec![rate], bounds());
+        fleet.weather = Weather { max_delay: 20_000, loss: 0.01, is_adverse: true };
+        let end = fleet.now + 80_000_000;
+        let mut next = fleet.now + 6_000_000;
+        while fleet.now < end {
+            if fleet.now >= next {
+                next += fleet.rng.random_range(3_000_000..12_000_000);
+                let hosts = fleet.hosts();
+                let one = hosts[fleet.rng.random_range(0..hosts.len())];
+                let time = fleet.rng.random_range(4_000_000..40_000_000);
+                fleet.replace_cut_off(one, time);
+            }
+            let hosts = fleet.hosts();
+            let one = hosts[fleet.rng.random_range(0..hosts.len())];
+            load(&mut fleet, &[4.0], &[one]);
+            fleet.step();
+            let fill = fleet.total_fill();
+            assert!(fill <= 1.0 + 1e-9, "seed {seed}: coordinators grant {fill} of each quota");
+        }
+        let excess = fleet.excess(0, rate, 0);
+        assert!(excess <= 0.0, "seed {seed}: {excess} over the bound");
+    }
+}
+
+/// Guards against a minority that reaches the store and removes a majority that does not.
+#[test]
+fn a_majority_without_the_store_keeps_its_shares() {
+    let mut fleet = Fleet::new(5, 5, vec![quota(100.0, 20.0)], bounds());
+    run_at_half_rate(&mut fleet, 8_000_000);
+    for (index, daemon) in fleet.daemons.iter_mut().enumerate() {
+        let is_minority = index == 0 || index == 4;
+        (daemon.group, daemon.sees_store) = (u8::from(is_minority), is_minority);
+    }
+    let end = fleet.now + 60_000_000;
+
+    while fleet.now < end {
+        load(&mut fleet, &[2.0], &[1]);
+        fleet.step();
+        let fill = fleet.total_fill();
+        assert!(fill <= 1.0 + 1e-9, "coordinators grant {fill} of each quota");
+    }
+
+    let lately = fleet.spent[0].iter().filter(|at| **at >= end - 10_000_000).count();
+    // Three fifths of the rate.
+    assert!(lately > 540, "{lately} operations in 10 s");
+    let excess = fleet.excess(0, quota(100.0, 20.0), 0);
+    assert!(excess <= 0.0, "{excess} over the bound");
+}
--- a/crates/persimmon-workspace/tests/quota_parts.rs
+++ b/crates/persimmon-workspace/tests/quota_parts.rs
@@ -7,8 +7,8 @@
 use persimmon_types::Time;
 use persimmon_workspace::Quota;
 use persimmon_workspace::quota::{
-    Answer, Bounds, Claim, Coordinator, Decision, FleetRecord, FleetSize, Grant, LEASE_TIME, Limit,
-    Member, Request, Want,
+    Answer, Bounds, Claim, Coordinator, Decision, Fleet, FleetRecord, Grant, LEASE_TIME, Limit,
+    Member, REGISTRATION_TIME, RecordChange, Request, Want,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -32,8 +32,7 @@
     let wants = workspaces
         .iter()
         .map(|(name, tokens)| Want { workspace: Arc::from(*name), tokens: *tokens });
-    let size = FleetSize { registered: 1, floor: 1 };
-    Request { index: Some(0), size, wants: wants.collect(), ..Request::default() }
+    Request { index: Some(0), version: 1, wants: wants.collect(), ..Request::default() }
 }
 
 /// An answer that grants everything requested.
@@ -87,18 +86,20 @@
         // No coordinator relies on a smaller record than the largest floor.
         let floor = rng.random_range(1..50_u32);
         let newest = floor + rng.random_range(0..50);
-        let sizes: Vec<FleetSize> = (0..rng.random_range(1..6))
-            .map(|_| FleetSize {
-                registered: rng.random_range(floor..=newest),
-                floor: rng.random_range(1..=floor),
-            })
-            .chain([FleetSize { registered: newest, floor }])
-            .collect();
+        let mut fleet = |registered: u32| {
+            Fleet::new(u64::from(registered), 0..registered, rng.random_range(1..=floor))
+        };
+        let mut sizes: Vec<Fleet> = Vec::new();
+        for _ in 0..5 {
+            let registered = floor + fleet(newest - floor + 1).floor() - 1;
+            sizes.push(fleet(registered));
+        }
+        sizes.push(Fleet::new(u64::from(newest), 0..newest, floor));
         let mut leases = vec![0; sizes.len()];
         for index in 0..newest {
             // A coordinator counts only members that its version of the record contains.
             let coordinator = rng.random_range(0..sizes.len());
-            if index < sizes[coordinator].registered && rng.random_bool(0.95) {
+            if sizes[coordinator].contains(index) && rng.random_bool(0.95) {
                 leases[coordinator] += 1;
             }
         }
@@ -107,28 +108,128 @@
     }
 }
 
-#[test]
-fn a_record_keeps_indices_and_is_raised_only_with_its_own_size() {
-    let name = |n: u32| Arc::from(format!("d{n}"));
-    let first = FleetRecord::updated(None, (0..3).map(name), None).expect("a first record");
-    let grown = FleetRecord::updated(Some(&first), (2..5).map(name), None).expect("it has grown");
+fn name(number: u32) -> Arc<str> {
+    Arc::from(format!("d{number}"))
+}
 
-    let stored: FleetRecord = serde_json::from_value(serde_json::to_value(&grown).expect("JSON"))
-        .map(FleetRecord::restored)
-        .expect("a record");
+/// The record after a change, which is also written to the store and read again.
+fn changed(record: &FleetRecord, change: RecordChange) -> FleetRecord {
+    let changed = FleetRecord::updated(Some(record), [], &change).expect("a change");
+    serde_json::from_value(serde_json::to_value(&changed).expect("JSON")).expect("a record")
+}
+
+fn first_record(daemons: u32) -> FleetRecord {
+    let nothing = RecordChange::default();
+    FleetRecord::updated(None, (0..daemons).map(name), &nothing).expect("a first record")
+}
+
+#[test]
+fn a_record_keeps_indices_and_is_raised_only_with_its_own_version() {
+    let nothing = RecordChange::default();
+    let first = first_record(3);
+    let grown = FleetRecord::updated(Some(&first), (2..5).map(name), &nothing).expect("grown");
+    let stored: FleetRecord =
+        serde_json::from_value(serde_json::to_value(&grown).expect("JSON")).expect("a record");
 
-    assert_eq!(stored.size(), FleetSize { registered: 5, floor: 3 });
+    assert_eq!(stored, grown);
+    assert_eq!((stored.fleet().registered(), stored.fleet().floor()), (5, 3));
     assert_eq!((stored.index("d0"), stored.index("d4")), (Some(0), Some(4)));
-    assert_eq!(FleetRecord::updated(Some(&stored), [], Some(3)), None, "an older size");
-    let raised = FleetRecord::updated(Some(&stored), [], Some(5)).expect("it is raised");
-    assert_eq!(raised.size(), FleetSize { registered: 5, floor: 5 });
+    let confirmed = |version| RecordChange { confirmed: Some(version), ..RecordChange::default() };
+    let older = FleetRecord::updated(Some(&stored), [], &confirmed(first.fleet().version));
+    assert_eq!(older, None);
+    let raised = changed(&stored, confirmed(stored.fleet().version));
+    assert_eq!((raised.fleet().registered(), raised.fleet().floor()), (5, 5));
+}
+
+/// A fleet that is updated has a record of before daemons could be removed.
+#[test]
+fn a_record_without_versions_can_be_read() {
+    let text = r#"{"daemons": ["d0", "d1", "d2"], "floor": 2}"#;
+
+    let record: FleetRecord = serde_json::from_str(text).expect("a record");
+
+    assert_eq!((record.fleet().registered(), record.fleet().floor()), (3, 2));
+    assert_eq!((record.index("d2"), record.fleet().version), (Some(2), 1));
+}
+
+#[test]
+fn a_daemon_is_removed_in_steps_and_gets_another_index_when_it_returns() {
+    let first = first_record(3);
+    let silent = RecordChange { silent: vec![1], ..RecordChange::default() };
+    let retiring = changed(&first, silent.clone());
+    let since = retiring.fleet().retiring()[0].since;
+    assert_eq!(FleetRecord::updated(Some(&retiring), [], &silent), None, "it retires already");
+    let of_earlier = RecordChange { ended: vec![(1, since - 1)], ..RecordChange::default() };
+    assert_eq!(FleetRecord::updated(Some(&retiring), [], &of_earlier), None, "another retirement");
+
+    let known =
+        changed(&retiring, RecordChange { known: vec![(1, since)], ..RecordChange::default() });
+    assert_eq!((known.fleet().registered(), known.fleet().floor()), (3, 2));
+    let returned = RecordChange { returned: vec![1], ..RecordChange::default() };
+    assert_eq!(FleetRecord::updated(Some(&known), [name(1)], &returned), None, "too late");
+    let ended = RecordChange { ended: vec![(1, since)], ..RecordChange::default() };
+    let removed = changed(&known, ended);
+    assert_eq!((removed.fleet().registered(), removed.index("d1")), (2, None));
+    let back = FleetRecord::updated(Some(&removed), [name(1)], &RecordChange::default());
+
+    assert_eq!(back.expect("it registers").index("d1"), Some(3));
+}
+
+#[test]
+fn a_retiring_daemon_that_is_heard_of_stays_registered() {
+    let retiring =
+        changed(&first_record(3), RecordChange { silent: vec![1], ..RecordChange::default() });
+    let returned = RecordChange { returned: vec![1], ..RecordChange::default() };
+
+    let by_message = changed(&retiring, returned);
+    let by_start = FleetRecord::updated(Some(&retiring), [name(1)], &RecordChange::default());
+
+    assert_eq!((by_message.fleet().retiring(), by_message.index("d1")), (&[][..], Some(1)));
+    assert_eq!(by_start.map(|record| record.index("d1")), Some(Some(1)));
+}
+
+/// The answer of a coordinator that knows the fleet.
+fn answer_of(fleet: &Arc<Fleet>, is_majority: bool, stamp: u64) -> Answer {
+    let fleet = Arc::clone(fleet);
+    Answer {
+        incarnation: 3,
+        stamp,
+        version: fleet.version,
+        fleet: Some(fleet),
+        is_majority,
+        ..Answer::default()
+    }
+}
+
+/// Guards against a daemon that was removed from the record and still leases its share.
+#[test]
+fn a_share_counts_only_while_the_registration_is_proved() {
+    let fleet = Arc::new(Fleet::new(1, 0..3, 3));
+    let mut member = Member::new(ms(0));
+    member.learn(&fleet, Some(0), None);
+    let mut claims = Vec::new();
+    for (at, is_majority) in [(2_000, true), (3_000, false), (4_000, false), (5_000, false)] {
+        let request = member.next_request(ms(at), COORDINATOR).expect("a request");
+        claims.extend(request.claim.map(|claim| (at, claim.is_valid)));
+        let answer = answer_of(&fleet, is_majority, at);
+        member.receive(ms(at), ms(at), COORDINATOR, &request, &answer);
+        let renewal = member.next_request(ms(at), COORDINATOR);
+        claims.extend(renewal.and_then(|r| r.claim).map(|claim| (at, claim.is_valid)));
+    }
+
+    // The proof of the majority is from 2,000 ms; a lease that starts later must end before it does.
+    let last_valid = 2_000 + REGISTRATION_TIME.as_millis() - LEASE_TIME.as_millis();
+    assert!(claims.len() >= 3, "{claims:?}");
+    for (at, is_valid) in claims {
+        assert_eq!(is_valid, u128::from(at) <= last_valid, "at {at} ms");
+    }
 }
 
 /// Guards against scarce tokens that go to less urgent statements which came first.
 #[test]
 fn urgent_statements_get_the_scarce_tokens() {
     let mut member = Member::new(ms(0));
-    member.learn(FleetSize { registered: 1, floor: 1 }, Some(0));
+    member.learn(&Arc::new(Fleet::new(1, 0..1, 1)), Some(0), Some(ms(0)));
     let name: Arc<str> = Arc::from("w");
     let patience = Duration::from_millis(100);
     let waiting: Vec<Decision> = [2, 1, 0]
@@ -196,10 +297,12 @@
 fn memory_is_bounded_by_what_is_in_use() {
     let mut coordinator = Coordinator::new(7, bounds(), ms(0));
     let mut member = Member::new(ms(0));
-    coordinator.set_fleet(ms(0), FleetSize { registered: 3_100, floor: 3_100 }, true);
+    let fleet = Arc::new(Fleet::new(1, 0..3_100, 3_100));
+    coordinator.set_fleet(ms(0), &fleet, Some(ms(0)), true);
     for index in 0..3_100 {
-        let claim = Some(Claim { incarnation: 7, stamp: ms(0).as_micros() });
-        let request = Request { index: Some(index), claim, ..Request::default() };
+        let stamp = ms(0).as_micros();
+        let claim = Some(Claim { incarnation: 7, stamp, is_valid: true, is_voter: true });
+        let request = Request { index: Some(index), version: 1, claim, ..Request::default() };
         coordinator.handle(ms(1), &request, Some(index), |_| None);
     }
     coordinator.tick(ms(200));
