Resume replicas that were stopped for a promotion which nobody needs any more

Which replicas were stopped was known only to the process that had stopped them. And while daemons ran, the replicas waited for a promotion that was no longer needed, for as long as the API was down.

A promotion is given up when the primary leads again before the request was accepted. The replicas are resumed at once if no request can take effect any more; else only the one that may still be promoted, until a higher token is known to the authority. The daemons that come first for a service watch whether replicas receive what the primary has, and resume one that stands still. RESUME is sent right after a conditional write to the lock. A failed primary is told to become a replica once the promotion of its successor was accepted.

--- a/crates/persimmon-interfaces/src/protocol.rs
+++ b/crates/persimmon-interfaces/src/protocol.rs
@@ -180,6 +180,8 @@
     Status,
     /// Stops a replica from receiving until the next promotion. The term must be above the newest.
     Pause(Term),
+    /// Lets a replica receive again.
+    Resume,
     /// Makes the primary of a lower term a replica.
     Demote(Term),
 }
@@ -243,7 +245,7 @@
     /// Returns an error if the bytes violate the protocol.
     fn decode(&self, src: &mut BytesMut) -> Result<Option<Reply>, ProtocolError>;
 
-    /// Parses the row that answers [`Command::Status`], [`Command::Pause`] and
-    /// [`Command::Demote`]; `None` if the row is malformed.
+    /// Parses the row that answers [`Command::Status`], [`Command::Pause`],
+    /// [`Command::Resume`] and [`Command::Demote`]; `None` if the row is malformed.
     fn parse_status(&self, row: &str) -> Option<InstanceStatus>;
 }
--- a/crates/persimmon-promotion/src/coordinator.rs
+++ b/crates/persimmon-promotion/src/coordinator.rs
@@ -3,6 +3,7 @@
 mod choosing;
 mod probing;
 mod requesting;
+mod resuming;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,6 +76,13 @@
         repeat_at: Time,
         /// Rounds in which the candidate's host refused connections.
         refused: u32,
+        /// Whether the request was accepted.
+        is_accepted: bool,
+    },
+    /// The promotion was given up, and replicas are to receive again.
+    Resuming {
+        primary: Arc<str>,
+        act_at: Time,
     },
 }
 
@@ -94,9 +102,12 @@
     lock_lease: Duration,
     may_act_at: Time,
     outstanding: OutstandingRequests,
-    /// Whether no request of a lower token can take effect any more, and the authority answered the
-    /// latest request.
-    is_fence_raised: bool,
+    /// When the authority was first known to refuse lower tokens.
+    fence_raised_at: Option<Time>,
+    /// When the fence may next be raised while no promotion is under way.
+    fence_at: Time,
+    /// Whether the authority did not carry out the latest request.
+    has_failed_request: bool,
     is_synchronous: bool,
     /// Whether replicas may have been told to stop receiving; only a promotion lets them resume.
     may_have_paused_replicas: bool,
@@ -120,7 +131,9 @@
             lock_lease: Duration::ZERO,
             may_act_at: Time::ZERO,
             outstanding: OutstandingRequests::default(),
-            is_fence_raised: false,
+            fence_raised_at: None,
+            fence_at: Time::ZERO,
+            has_failed_request: false,
             is_synchronous: false,
             may_have_paused_replicas: false,
             late_rounds: 0,
@@ -168,7 +181,7 @@
     #[must_use]
     pub fn is_planned(&self) -> bool {
         match &self.state {
-            State::Idle => false,
+            State::Idle | State::Resuming { .. } => false,
             State::WaitingForHolder { reason, .. }
             | State::Probing { reason, .. }
             | State::Confirmed { reason, .. }
@@ -199,6 +212,7 @@
             State::RaisingFence { .. } => "fencing",
             State::ClosingLog { .. } => "closing",
             State::Promoting { .. } => "ordered",
+            State::Resuming { .. } => "resuming",
         }
     }
 
@@ -221,30 +235,26 @@
             Input::Canvassed { failing, answered } => self.on_peers_polled(now, failing, answered),
             Input::Asked(answers) => self.on_instances_queried(now, info, &answers, actions),
             Input::Closed(answers) => self.on_log_closed(now, info, &answers, actions),
+            Input::Standstill(id) => self.on_standstill(now, info, &id),
+            Input::Resumed { only, is_complete } => self.on_resumed(only.as_ref(), is_complete),
             Input::Claimed { token, is_first } => {
-                self.is_fence_raised = is_first;
+                self.fence_raised_at = is_first.then_some(Time::ZERO);
                 self.on_lock_acquired(now, token, actions);
             }
             Input::NotClaimed => self.probe_again(now),
             Input::LockUnavailable => self.on_lock_unavailable(now, actions),
             Input::LockLost => self.on_lock_lost(now),
-            Input::Accepted(req) => {
-                self.outstanding.record_accepted(&req);
-                self.is_fence_raised = Some(req.fencing_token) == self.fencing_token;
-                self.on_accepted(actions);
-            }
+            Input::Accepted(req) => self.on_accepted(now, &req, actions),
             Input::Refused(req) => {
                 self.outstanding.record_not_done(&req);
                 self.on_lock_lost(now);
             }
             Input::NotDone(req) => {
                 self.outstanding.record_not_done(&req);
-                self.is_fence_raised = false;
                 self.on_not_done(now);
             }
             Input::Unanswered(req) => {
                 self.outstanding.record_unanswered(&req);
-                self.is_fence_raised = false;
                 self.on_not_done(now);
             }
         }
@@ -262,11 +272,10 @@
 
     fn tick(&mut self, now: Time, info: &PrimaryInfo, actions: &mut Vec<Action>) {
         match &mut self.state {
-            State::Idle => {
-                if let Some(reason) = Self::current_reason(info) {
-                    self.consider_replacement(now, reason, actions);
-                }
-            }
+            State::Idle => match Self::current_reason(info) {
+                Some(reason) => self.consider_replacement(now, reason, actions),
+                None => self.tick_fence(now, info, actions),
+            },
             State::WaitingForHolder { reason, probe_at } => {
                 let (reason, probe_at) = (*reason, *probe_at);
                 let is_obsolete = match reason {
@@ -291,14 +300,14 @@
                 }
                 let (reason, confirmed_at) = (*reason, *confirmed_at);
                 // Only a higher token keeps a request without an answer from taking effect.
-                let is_usable = |token: &u64| !self.outstanding.has_from(*token);
-                if self.fencing_token.as_ref().is_some_and(is_usable) {
+                if self.has_usable_token() {
                     self.query_instances(reason, confirmed_at, actions);
                 } else {
                     self.state = State::AcquiringLock { reason, confirmed_at };
                     actions.push(Action::AcquireLock);
                 }
             }
+            State::Resuming { .. } => self.tick_resuming(now, info, actions),
             State::AcquiringLock { .. }
             | State::QueryingInstances { .. }
             | State::RaisingFence { .. }
@@ -330,7 +339,8 @@
         id: &Arc<str>,
         actions: &mut Vec<Action>,
     ) {
-        if self.state == State::Idle && info.primary.as_ref() == Some(id) {
+        let is_at_rest = matches!(self.state, State::Idle | State::Resuming { .. });
+        if is_at_rest && info.primary.as_ref() == Some(id) {
             self.consider_replacement(now, PromotionReason::Suspected, actions);
         }
     }
@@ -371,6 +381,7 @@
     fn on_lock_acquired(&mut self, now: Time, fencing_token: u64, actions: &mut Vec<Action>) {
         self.fencing_token = Some(fencing_token);
         self.may_act_at = now + self.lock_lease;
+        self.proceed_with_resuming(self.may_act_at);
         if let State::WaitingForHolder { probe_at, .. } = &mut self.state {
             *probe_at = now;
         }
@@ -406,6 +417,11 @@
 
     fn on_lock_lost(&mut self, now: Time) {
         self.fencing_token = None;
+        self.fence_raised_at = None;
+        if matches!(self.state, State::Resuming { .. }) {
+            // The replicas are the new holder's now.
+            self.reset();
+        }
         self.probe_again(now);
     }
 
@@ -418,7 +434,10 @@
             | State::ClosingLog { reason, .. }
             | State::Confirmed { reason, .. }
             | State::Promoting { reason, .. } => reason,
-            State::Idle | State::WaitingForHolder { .. } | State::Probing { .. } => return,
+            State::Idle
+            | State::WaitingForHolder { .. }
+            | State::Probing { .. }
+            | State::Resuming { .. } => return,
         };
         let probe_at = now + RETRY_DELAY;
         self.state = State::Probing { reason, refused: REFUSED_ROUNDS, silent: 0, probe_at };
--- a/crates/persimmon-promotion/src/coordinator/choosing.rs
+++ b/crates/persimmon-promotion/src/coordinator/choosing.rs
@@ -28,7 +28,7 @@
             return;
         };
         let old_primary = self.old_primary(info);
-        if !self.may_choose(now, info, reason, old_primary.as_ref(), answers) {
+        if !self.may_choose(now, info, reason, old_primary.as_ref(), answers, actions) {
             return;
         }
         let may_wait = reason.is_planned() && now.since(confirmed_at) < CATCH_UP_TIMEOUT;
@@ -46,7 +46,7 @@
                     && a.status.is_some_and(|s| s.role == Role::Primary)
             };
             match answers.iter().find(leads) {
-                Some(primary) if !self.is_fence_raised => {
+                Some(primary) if self.fence_raised_at.is_none() || self.has_failed_request => {
                     let primary = Arc::clone(&primary.id);
                     self.raise_fence(now, reason, confirmed_at, primary, actions);
                 }
@@ -76,7 +76,7 @@
             return;
         };
         let old_primary = self.old_primary(info);
-        if !self.may_choose(now, info, reason, old_primary.as_ref(), answers) {
+        if !self.may_choose(now, info, reason, old_primary.as_ref(), answers, actions) {
             return;
         }
         let may_return = self.late_rounds >= MAX_LATE_ROUNDS;
@@ -104,6 +104,7 @@
         reason: PromotionReason,
         old_primary: Option<&Arc<str>>,
         answers: &[Asked],
+        actions: &mut Vec<Action>,
     ) -> bool {
         if self.fencing_token.is_none() {
             self.probe_again(now);
@@ -117,7 +118,11 @@
             let is_current = found_primary.status.map(|s| s.term) == newest_term;
             let is_being_replaced = reason.is_planned() && Some(&found_primary.id) == old_primary;
             if is_current && !is_being_replaced {
-                self.reset();
+                if Some(&found_primary.id) == old_primary {
+                    self.give_up(now, Arc::clone(&found_primary.id), actions);
+                } else {
+                    self.reset();
+                }
                 return false;
             }
         }
--- a/crates/persimmon-promotion/src/coordinator/probing.rs
+++ b/crates/persimmon-promotion/src/coordinator/probing.rs
@@ -30,11 +30,17 @@
             {
                 self.reset();
             }
+            State::Promoting {
+                reason, old_primary: Some(old_primary), is_accepted: false, ..
+            } if found_primary == Some(old_primary) && !reason.is_planned() => {
+                let old_primary = Arc::clone(old_primary);
+                self.give_up(now, old_primary, actions);
+            }
             State::Promoting { .. } => self.on_candidate_probed(findings, actions),
             State::Probing { reason, .. } => {
                 let reason = *reason;
                 if let Some(found_primary) = found_primary {
-                    self.on_primary_found(now, info, reason, found_primary);
+                    self.on_primary_found(now, info, reason, found_primary, actions);
                     return;
                 }
                 self.on_no_primary_found(now, info, findings, actions);
@@ -68,16 +74,16 @@
         info: &PrimaryInfo,
         reason: PromotionReason,
         found_primary: &Arc<str>,
+        actions: &mut Vec<Action>,
     ) {
         let is_directory_primary = info.primary.as_ref() == Some(found_primary);
-        if is_directory_primary
-            && (self.may_have_paused_replicas
-                || reason.is_planned() && Self::current_reason(info).is_some())
-        {
+        if is_directory_primary && reason.is_planned() && Self::current_reason(info).is_some() {
             self.confirm(now, reason);
-            return;
+        } else if self.primary.as_ref() == Some(found_primary) {
+            self.give_up(now, Arc::clone(found_primary), actions);
+        } else {
+            self.reset();
         }
-        self.reset();
     }
 
     fn on_no_primary_found(
--- a/crates/persimmon-promotion/src/coordinator/requesting.rs
+++ b/crates/persimmon-promotion/src/coordinator/requesting.rs
@@ -31,6 +31,7 @@
             check_at: now + PROBE_INTERVAL,
             repeat_at: now + PROMOTION_TIMEOUT,
             refused: 0,
+            is_accepted: false,
         };
     }
 
@@ -63,7 +64,7 @@
     }
 
     /// Requests a promotion, if the token may be used for that instance.
-    fn send_request(&mut self, candidate: &Arc<str>, actions: &mut Vec<Action>) -> bool {
+    pub(super) fn send_request(&mut self, candidate: &Arc<str>, actions: &mut Vec<Action>) -> bool {
         let Some(fencing_token) = self.fencing_token else {
             return false;
         };
@@ -76,14 +77,34 @@
         true
     }
 
-    pub(super) fn on_accepted(&mut self, actions: &mut Vec<Action>) {
-        if let State::RaisingFence { reason, confirmed_at } = self.state {
-            self.close_log(reason, confirmed_at, actions);
+    pub(super) fn on_accepted(&mut self, now: Time, req: &Request, actions: &mut Vec<Action>) {
+        self.outstanding.record_accepted(req);
+        self.has_failed_request = false;
+        if Some(req.fencing_token) == self.fencing_token {
+            self.fence_raised_at.get_or_insert(now);
+        }
+        let is_synchronous = self.is_synchronous;
+        match &mut self.state {
+            State::RaisingFence { reason, confirmed_at } => {
+                let (reason, confirmed_at) = (*reason, *confirmed_at);
+                self.close_log(reason, confirmed_at, actions);
+            }
+            State::Promoting { reason, candidate, is_accepted, .. }
+                if *candidate == req.candidate =>
+            {
+                *is_accepted = true;
+                if is_synchronous && !reason.is_planned() {
+                    actions.push(Action::DemoteOldPrimary);
+                }
+            }
+            State::Resuming { .. } => self.proceed_with_resuming(now),
+            _ => {}
         }
     }
 
     /// A request had no effect yet. It is repeated from the state of the instances then.
     pub(super) fn on_not_done(&mut self, now: Time) {
+        self.has_failed_request = true;
         match &mut self.state {
             State::Promoting { repeat_at, .. } => {
                 *repeat_at = (now + UNANSWERED_TIMEOUT).min(*repeat_at);
--- a/crates/persimmon-promotion/src/input.rs
+++ b/crates/persimmon-promotion/src/input.rs
@@ -90,6 +90,15 @@
     },
     /// The instances were queried for their status.
     Asked(Vec<Asked>),
+    /// A replica receives nothing although this primary has more.
+    Standstill(Arc<str>),
+    /// Replicas were resumed; `is_complete` unless one did not answer or the lock was not confirmed.
+    Resumed {
+        /// The only replica that was to be resumed; `None` for all.
+        only: Option<Arc<str>>,
+        /// Whether every replica has answered.
+        is_complete: bool,
+    },
     /// The log of the primary's term was closed as far as instances could be reached; contains the
     /// statuses afterwards.
     Closed(Vec<Asked>),
@@ -130,6 +139,16 @@
     /// every instance for its status afterwards. A primary that can be reached is demoted; where it
     /// cannot be, replicas stop receiving.
     CloseLog,
+    /// Tell the old primary to become a replica, now that a promotion was accepted. It may be alive
+    /// and out of reach of some daemons.
+    DemoteOldPrimary,
+    /// Confirm the promotion lock at the store, and let replicas receive again.
+    ResumeReplication {
+        /// The primary, which is no replica.
+        primary: Arc<str>,
+        /// The only replica to resume; `None` for all.
+        only: Option<Arc<str>>,
+    },
     /// Acquire the promotion lock at the store.
     AcquireLock,
     /// Request a promotion. A request that names the present primary changes nothing, but lets the
--- a/crates/persimmon-promotion/src/lib.rs
+++ b/crates/persimmon-promotion/src/lib.rs
@@ -10,6 +10,7 @@
 //! - A token that was refused is not used again.
 //! - A request without an answer may be carried out at any later time. Its token is used for no other
 //!   instance until the authority has answered a request of a higher one.
+//! - Replicas that were stopped receive again after a promotion, or once none can take effect any more.
 //! - An accepted promotion request does not prove a promotion: the instances are queried
 //!   afterwards.
 //! - Safety depends only on the token and the instances; the timeouts here only affect how soon a
@@ -20,8 +21,10 @@
 mod input;
 mod outstanding;
 mod record;
+mod standstill;
 
 pub use candidate::{Asked, choose_candidate, choose_from_closed_log};
 pub use coordinator::PromotionCoordinator;
 pub use input::{Action, Input, PrimaryInfo, ProbeFinding, PromotionReason, Request};
 pub use record::PromotionLockRecord;
+pub use standstill::StandstillDetector;
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -8,7 +8,7 @@
 
 use persimmon_interfaces::{PromoteError, PromotionRequest};
 use persimmon_promotion::{Action, Input, PrimaryInfo, PromotionCoordinator, Request};
-use persimmon_types::{Clock, Time};
+use persimmon_types::{Clock, Term, Time};
 use rand::Rng;
 use tokio::sync::mpsc;
 
@@ -16,7 +16,9 @@
 use crate::control::peers;
 use crate::control::probe::ProbeConnections;
 use crate::control::promotion_lock::{acquire_lock, announce_promotion};
-use crate::control::replication::{close_log, query_instances};
+use crate::control::replication::{
+    ReplicationWatch, close_log, demote_old_primary, query_instances, resume_replication,
+};
 use crate::metrics::Metrics;
 use crate::traffic::Suspicion;
 
@@ -41,6 +43,9 @@
     pub(super) coordinator: RefCell<PromotionCoordinator>,
     pub(super) probes: ProbeConnections,
     pub(super) service: Arc<str>,
+    /// The term under which replicas were last stopped or the primary demoted.
+    pub(super) closing_term: Cell<Term>,
+    watch: ReplicationWatch,
     /// When a suspicion was last reported to the daemons that may hold the promotion lock.
     reported_at: Cell<Time>,
     /// The store's era in which this daemon last acquired the promotion lock, or lost it to
@@ -118,6 +123,8 @@
                 coordinator: RefCell::new(new_coordinator(control, name)),
                 probes: ProbeConnections::default(),
                 service: Arc::clone(name),
+                closing_term: Cell::default(),
+                watch: ReplicationWatch::default(),
                 reported_at: Cell::default(),
                 lock_era: Cell::default(),
                 renewal_at: Cell::default(),
@@ -129,12 +136,33 @@
         entry.coordinator.borrow_mut().set_synchronous(is_synchronous);
         if entry.coordinator.borrow().is_idle() {
             entry.probes.clear();
+            watch_replication(control, entry, now);
         }
         renew_lock_after_restore(control, entry, now);
         handle_input(control, entry, Input::Tick);
     }
 }
 
+/// Checks the replicas of a synchronous group, on the daemons that come first for the service and on
+/// the holder of the promotion lock.
+fn watch_replication(control: &Rc<Control>, running: &Rc<RunningCoordinator>, now: Time) {
+    let (is_synchronous, holds_lock) = {
+        let coordinator = running.coordinator.borrow();
+        (coordinator.is_synchronous(), coordinator.fencing_token().is_some())
+    };
+    let is_watching = holds_lock || peers::is_lock_candidate(control, &running.service);
+    if !is_synchronous || !is_watching || !running.watch.is_due(now, holds_lock) {
+        return;
+    }
+    let (control, running) = (Rc::clone(control), Rc::clone(running));
+    ntex::rt::spawn(async move {
+        let service = &running.service;
+        if let Some(primary) = running.watch.check(&control, service, holds_lock).await {
+            handle_input(&control, &running, Input::Standstill(primary));
+        }
+    });
+}
+
 fn new_coordinator(control: &Control, service: &Arc<str>) -> PromotionCoordinator {
     let is_candidate = peers::is_lock_candidate(control, service);
     let range =
@@ -235,6 +263,13 @@
         }
         Action::QueryInstances => query_instances(control, running).await,
         Action::CloseLog => close_log(control, running).await,
+        Action::DemoteOldPrimary => {
+            demote_old_primary(control, running).await;
+            Input::Tick
+        }
+        Action::ResumeReplication { primary, only } => {
+            resume_replication(control, running, &primary, only).await
+        }
         Action::AcquireLock => acquire_lock(control, running, false).await,
         Action::RequestPromotion(req) => request_promotion(control, running, req).await,
     }
--- a/crates/persimmon-proxy/src/control/promotion_lock.rs
+++ b/crates/persimmon-proxy/src/control/promotion_lock.rs
@@ -143,23 +143,52 @@
 pub(super) fn announce_promotion(control: &Rc<Control>, service: &Arc<str>, fencing_token: u64) {
     let (control, service) = (Rc::clone(control), Arc::clone(service));
     ntex::rt::spawn(async move {
-        let store = &control.platform.store;
-        let read = store.read(ObjectKind::Duties, Arc::clone(&service)).await;
-        let Ok(ReadResult { era, object: Some(object) }) = read else {
-            return;
-        };
-        let Some(record) = parse_lock_record(&object, era).filter(|r| r.token == fencing_token)
-        else {
-            return;
-        };
-        let record = PromotionLockRecord { ordered_ms: Clock.wall_ms(), ..record };
-        let Ok(value) = serde_json::to_value(&record) else {
-            return;
-        };
-        let written = store.write(ObjectKind::Duties, service, Some(object.revision), value).await;
-        if let Err(err) = written {
-            tracing::info!(token = fencing_token, error = %err,
+        if confirm_lock(&control, &service, fencing_token).await == LockState::Unknown {
+            tracing::info!(%service, token = fencing_token,
                 "the promotion request could not be recorded in the promotion lock");
         }
     });
 }
+
+/// Whether this daemon holds a promotion lock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LockState {
+    /// It does. Others do not acquire it for some time.
+    Held,
+    /// Another daemon has acquired it.
+    Lost,
+    /// The store did not answer.
+    Unknown,
+}
+
+/// Confirms by a conditional write that this daemon holds the promotion lock with this token.
+pub(super) async fn confirm_lock(
+    control: &Control,
+    service: &Arc<str>,
+    fencing_token: u64,
+) -> LockState {
+    let store = &control.platform.store;
+    let read = store.read(ObjectKind::Duties, Arc::clone(service)).await;
+    let Ok(ReadResult { era, object: Some(object) }) = read else {
+        return LockState::Unknown;
+    };
+    let Some(record) = parse_lock_record(&object, era) else {
+        return LockState::Unknown;
+    };
+    if record.token != fencing_token || record.incarnation != control.incarnation {
+        return LockState::Lost;
+    }
+    let record = PromotionLockRecord { ordered_ms: Clock.wall_ms(), ..record };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return LockState::Unknown;
+    };
+    let expect = Some(object.revision);
+    match store.write(ObjectKind::Duties, Arc::clone(service), expect, value).await {
+        Ok(_) => LockState::Held,
+        Err(err) => {
+            tracing::info!(%service, token = fencing_token, error = %err,
+                "the promotion lock could not be confirmed");
+            LockState::Unknown
+        }
+    }
+}
--- a/crates/persimmond/tests/synchronous_replication.rs
+++ b/crates/persimmond/tests/synchronous_replication.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use persimmon_lab::line_cluster::InstanceProfile;
+use persimmon_lab::line_cluster::{InstanceProfile, StoreFaults};
 
 use crate::fleet::writers::Writers;
 use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup_with};
@@ -17,6 +17,9 @@
 /// After this time, a daemon has proved at the store that its directory is complete.
 const DIRECTORY_PROOF_TIME: Duration = Duration::from_secs(4);
 
+/// How long the service may take to acknowledge writes after a loss of all daemons.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+
 fn synchronous_setup(name: &str) -> Setup {
     let profile = InstanceProfile {
         sync_replicas: 1,
@@ -102,3 +105,49 @@
     assert!(publish_until(&setup, &[0, first], || writers.acknowledged() > before + 50));
     setup.assert_no_violations();
 }
+
+/// Crashes the primary while promotions are unavailable, until a replica has been stopped from
+/// receiving, and starts it again.
+fn crash_primary_until_replicas_are_stopped(setup: &Setup) {
+    setup
+        .cluster
+        .store
+        .set_faults(StoreFaults { is_promotion_unavailable: true, ..StoreFaults::default() });
+    setup.crash_primary();
+    let (group, _) = &setup.cluster.groups[0];
+    assert!(holds_within(CONDITION_TIMEOUT, || group.is_stopped(1) && group.is_stopped(2)));
+    setup.restart_crashed();
+}
+
+/// Guards against replicas that stay stopped because the process that stopped them is gone.
+#[test]
+fn replicas_that_were_stopped_by_killed_daemons_receive_again() {
+    let mut setup = synchronous_setup("sync-killed");
+    let writers = start_writers(&setup);
+    crash_primary_until_replicas_are_stopped(&setup);
+
+    for daemon in &mut setup.daemons {
+        daemon.kill();
+    }
+    drop(writers);
+    setup.cluster.store.set_faults(StoreFaults::default());
+    setup.restart_all();
+    let gap = setup.time_to_write(0, "after");
+
+    assert!(gap < RECOVERY_LIMIT, "{gap:?}");
+    setup.assert_no_violations();
+}
+
+/// Guards against replicas that wait for a promotion which is no longer needed.
+#[test]
+fn replicas_receive_again_once_the_primary_is_back_while_promotions_are_unavailable() {
+    let setup = synchronous_setup("sync-back");
+    let _writers = start_writers(&setup);
+    crash_primary_until_replicas_are_stopped(&setup);
+
+    let gap = setup.time_to_write(0, "after");
+
+    assert!(gap < Duration::from_secs(4), "{gap:?}");
+    assert_eq!(setup.cluster.groups[0].0.term(), 1);
+    setup.assert_no_violations();
+}
