Resume replicas although the primary is suspected meanwhile; soak of synchronous groups

The primary was well and no write was served for over 12 s after all faults had ended.

A standstill counts also while the primary is only suspected, and a suspicion does not end the resumption unless a probe finds that the primary has failed.

The soak draws groups with synchronous replication, late and refused promotion requests, and replaced instances and hosts (--synchronous).

--- a/crates/persimmon-promotion/src/coordinator.rs
+++ b/crates/persimmon-promotion/src/coordinator.rs
@@ -339,9 +339,13 @@
         id: &Arc<str>,
         actions: &mut Vec<Action>,
     ) {
-        let is_at_rest = matches!(self.state, State::Idle | State::Resuming { .. });
-        if is_at_rest && info.primary.as_ref() == Some(id) {
-            self.consider_replacement(now, PromotionReason::Suspected, actions);
+        if info.primary.as_ref() != Some(id) {
+            return;
+        }
+        match self.state {
+            State::Idle => self.consider_replacement(now, PromotionReason::Suspected, actions),
+            State::Resuming { .. } => actions.push(Action::Probe),
+            _ => {}
         }
     }
 
--- a/crates/persimmon-promotion/src/coordinator/probing.rs
+++ b/crates/persimmon-promotion/src/coordinator/probing.rs
@@ -45,6 +45,7 @@
                 }
                 self.on_no_primary_found(now, info, findings, actions);
             }
+            State::Resuming { .. } => self.on_probed_while_resuming(now, findings, actions),
             _ => {}
         }
     }
--- a/crates/persimmon-promotion/src/coordinator/resuming.rs
+++ b/crates/persimmon-promotion/src/coordinator/resuming.rs
@@ -9,7 +9,7 @@
 use persimmon_types::Time;
 
 use crate::coordinator::{PromotionCoordinator, State};
-use crate::input::{Action, PrimaryInfo};
+use crate::input::{Action, PrimaryInfo, ProbeFinding, PromotionReason};
 
 /// The longest time from the acceptance of a request until the promotion takes effect.
 const EFFECT_TIME: Duration = Duration::from_millis(2_500);
@@ -37,15 +37,43 @@
     }
 
     /// A replica receives nothing although the primary has more. The process that has stopped it may
-    /// be gone.
+    /// be gone. Statements that wait for the replica cause suspicions of the primary meanwhile.
     pub(super) fn on_standstill(&mut self, now: Time, info: &PrimaryInfo, primary: &Arc<str>) {
         let may_stay = info.primary.as_ref() == Some(primary) && !info.is_planned();
-        if self.state == State::Idle && self.is_synchronous && may_stay {
+        if self.may_be_at_rest() && self.is_synchronous && may_stay {
             self.may_have_paused_replicas = true;
             self.state = State::Resuming { primary: Arc::clone(primary), act_at: now };
         }
     }
 
+    /// Whether no promotion has begun, though the primary may be suspected.
+    #[must_use]
+    pub fn may_be_at_rest(&self) -> bool {
+        matches!(
+            self.state,
+            State::Idle
+                | State::WaitingForHolder { reason: PromotionReason::Suspected, .. }
+                | State::Probing { reason: PromotionReason::Suspected, .. }
+        )
+    }
+
+    /// The primary is suspected or probed while replicas are to be resumed. If it has failed, it is
+    /// replaced first.
+    pub(super) fn on_probed_while_resuming(
+        &mut self,
+        now: Time,
+        findings: &[(Arc<str>, ProbeFinding)],
+        actions: &mut Vec<Action>,
+    ) {
+        let State::Resuming { primary, .. } = &self.state else {
+            return;
+        };
+        let finding = findings.iter().find(|(id, _)| id == primary).map(|(_, finding)| *finding);
+        if matches!(finding, None | Some(ProbeFinding::Refused | ProbeFinding::Silent)) {
+            self.consider_replacement(now, PromotionReason::Suspected, actions);
+        }
+    }
+
     pub(super) fn tick_resuming(
         &mut self,
         now: Time,
--- a/crates/persimmon-promotion/tests/resuming.rs
+++ b/crates/persimmon-promotion/tests/resuming.rs
@@ -140,6 +140,26 @@
     fixture.input(340, primary_is_back());
 
     assert_eq!(fixture.input(350, Input::Suspected(id("a"))), [Action::Probe]);
+    let failed = findings(ProbeFinding::Refused, ProbeFinding::Follows, ProbeFinding::Follows);
+    assert_eq!(fixture.input(360, failed), [Action::Probe]);
+    assert_eq!(fixture.coordinator.state_name(), "doubting");
+}
+
+/// Found by the soak (seed 4905): writes that wait for a replica make every daemon suspect the primary.
+#[test]
+fn suspicions_of_a_primary_that_leads_do_not_keep_replicas_from_being_resumed() {
+    let mut fixture = Fixture::with_lock(info("a"));
+    fixture.coordinator.set_synchronous(true);
+    let raise_fence = Action::RequestPromotion(request("a", 7));
+    assert_eq!(fixture.input(5, Input::Tick), [raise_fence]);
+    fixture.input(6, Input::Accepted(request("a", 7)));
+    assert_eq!(fixture.input(4_000, Input::Suspected(id("a"))), [Action::Probe]);
+
+    fixture.input(4_010, Input::Standstill(id("a")));
+    assert_eq!(fixture.input(4_020, Input::Suspected(id("a"))), [Action::Probe]);
+    assert_eq!(fixture.input(4_030, primary_is_back()), []);
+
+    assert_eq!(fixture.input(4_100, Input::Tick), [resume_all()]);
 }
 
 /// Guards against review case 9: the process that stopped the replicas is gone.
--- a/crates/persimmon-proxy/src/control/promotion.rs
+++ b/crates/persimmon-proxy/src/control/promotion.rs
@@ -136,8 +136,8 @@
         entry.coordinator.borrow_mut().set_synchronous(is_synchronous);
         if entry.coordinator.borrow().is_idle() {
             entry.probes.clear();
-            watch_replication(control, entry, now);
         }
+        watch_replication(control, entry, now);
         renew_lock_after_restore(control, entry, now);
         handle_input(control, entry, Input::Tick);
     }
@@ -146,12 +146,13 @@
 /// Checks the replicas of a synchronous group, on the daemons that come first for the service and on
 /// the holder of the promotion lock.
 fn watch_replication(control: &Rc<Control>, running: &Rc<RunningCoordinator>, now: Time) {
-    let (is_synchronous, holds_lock) = {
+    let (may_watch, holds_lock) = {
         let coordinator = running.coordinator.borrow();
-        (coordinator.is_synchronous(), coordinator.fencing_token().is_some())
+        let may_watch = coordinator.is_synchronous() && coordinator.may_be_at_rest();
+        (may_watch, coordinator.fencing_token().is_some())
     };
     let is_watching = holds_lock || peers::is_lock_candidate(control, &running.service);
-    if !is_synchronous || !is_watching || !running.watch.is_due(now, holds_lock) {
+    if !may_watch || !is_watching || !running.watch.is_due(now, holds_lock) {
         return;
     }
     let (control, running) = (Rc::clone(control), Rc::clone(running));
--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -42,6 +42,8 @@
     unanswered: bool,
     /// also let clients need keys, some of which come and go
     keys: bool,
+    /// let commits wait for one replica, and also replace instances and hosts
+    synchronous: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -61,6 +63,7 @@
             has_odd_entries: args.odd_entries,
             has_unanswered_calls: args.unanswered,
             has_key_changes: args.keys,
+            has_synchronous_groups: args.synchronous,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -64,6 +64,10 @@
     start_count: usize,
     table_version: u64,
     faults: StoreFaults,
+    /// The instances that drain, by their number in each group.
+    draining: Vec<usize>,
+    /// The instances that have ended for good, with the numbers of their groups.
+    gone: Vec<(usize, usize)>,
     /// The table that the operators wrote last, as its extra databases.
     extra_databases: &'static [&'static str],
     /// The latest copies of the store, oldest first.
@@ -106,6 +110,8 @@
             start_count: 0,
             table_version: FIRST_VERSION,
             faults: StoreFaults::default(),
+            draining: Vec::new(),
+            gone: Vec::new(),
             extra_databases: &[],
             copies: VecDeque::new(),
             keys,
@@ -223,11 +229,35 @@
                 self.cluster.store.put_raw("servers", &odd_entry_name(step), value);
             }
             Fault::DrainPrimary => self.cluster.publish_instances(true),
+            Fault::LateOrders => {
+                self.cluster.store.delay_promotions(1 + step.target % 2, step.lasts * 4);
+            }
+            Fault::OrdersUnavailable => self.set_faults(|f| f.is_promotion_unavailable = true),
+            Fault::ReplaceHost => self.kill_daemon(index),
+            Fault::ReplaceInstance => return self.start_replacement(step),
             _ => return self.start_instance_fault(step),
         }
         None
     }
 
+    /// Starts another instance, and lets the primary or another one drain.
+    fn start_replacement(&mut self, step: &Step) -> Option<(usize, usize)> {
+        let target = self.find_any_instance(step)?;
+        if self.draining.contains(&target.1) || self.cluster.add_instance(target.0).is_err() {
+            return None;
+        }
+        self.draining.push(target.1);
+        self.refresh_directory();
+        Some(target)
+    }
+
+    /// Ends the instance that drains.
+    fn end_replacement(&mut self, target: (usize, usize)) {
+        self.draining.retain(|instance| *instance != target.1);
+        self.gone.push(target);
+        self.cluster.groups[target.0].1[target.1].server.crash();
+    }
+
     /// Adds a client key to the table, or removes it.
     fn change_key(&mut self, step: &Step) {
         let Some((ledger, clients)) = &self.keys else {
@@ -320,6 +350,14 @@
             Fault::StoreSilent => self.cluster.store_proxy.partition(false),
             Fault::StoreUnanswered => self.cluster.store_proxy.discard(false),
             Fault::RefuseState => self.accept_state(),
+            Fault::OrdersUnavailable => self.set_faults(|f| f.is_promotion_unavailable = false),
+            Fault::ReplaceHost => {
+                let index = step.target % self.daemons.len();
+                if self.daemons[index].is_none() {
+                    self.addresses[index] = loopback_peer_addresses(1)[0];
+                }
+                self.restart_missing()?;
+            }
             _ => {}
         }
         let Some((group_index, instance_index)) = target else {
@@ -328,7 +366,12 @@
         let (group, instances) = &self.cluster.groups[group_index];
         let instance = &instances[instance_index];
         match step.fault {
-            Fault::CrashPrimary | Fault::CrashReplica => instance.server.restart(),
+            Fault::ReplaceInstance => self.end_replacement((group_index, instance_index)),
+            Fault::CrashPrimary | Fault::CrashReplica
+                if !self.gone.contains(&(group_index, instance_index)) =>
+            {
+                instance.server.restart();
+            }
             Fault::LoseAnswers => instance.server.set_response_loss(false),
             Fault::DeafReplica => group.set_replication_paused(instance_index, false),
             Fault::CutInstance | Fault::CutAnswers => instance.proxy.partition(false),
@@ -341,7 +384,7 @@
 
     /// Writes the entries of all instances to the directory, as instances do periodically.
     pub(crate) fn refresh_directory(&mut self) {
-        self.cluster.publish_instances(false);
+        self.cluster.publish_with_draining(&self.draining);
         self.copies.push_back(self.cluster.store.copy());
         if self.copies.len() > MAX_COPIES {
             self.copies.pop_front();
@@ -355,8 +398,12 @@
         self.cluster.store_proxy.partition(false);
         self.cluster.store_proxy.discard(false);
         self.accept_state();
-        for (group, instances) in &self.cluster.groups {
+        self.draining.clear();
+        for (group_index, (group, instances)) in self.cluster.groups.iter().enumerate() {
             for (instance_index, instance) in instances.iter().enumerate() {
+                if self.gone.contains(&(group_index, instance_index)) {
+                    continue;
+                }
                 instance.proxy.partition(false);
                 instance.proxy.delay(Duration::ZERO);
                 instance.proxy.discard(false);
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -60,6 +60,14 @@
     OddEntry,
     /// A client key that the table lacks is added, or one that it holds is removed.
     ChangeKey,
+    /// Promotion requests get no response and are carried out later.
+    LateOrders,
+    /// Promotions are refused as unavailable.
+    OrdersUnavailable,
+    /// An instance is replaced: a new one starts, the old one drains and ends for good.
+    ReplaceInstance,
+    /// A host is lost for good, and another one comes at another address.
+    ReplaceHost,
 }
 
 const FAULTS: [Fault; 20] = [
@@ -97,6 +105,21 @@
 /// The same for changes of client keys.
 const KEY_STREAM: u64 = 0x6b_e75;
 
+/// The same for replacements and what meets the promotions of synchronous groups.
+const REPLACEMENT_STREAM: u64 = 0x4e_91ace;
+
+/// The faults of the stream of replacements.
+const REPLACEMENTS: [Fault; 8] = [
+    Fault::LateOrders,
+    Fault::ReplaceInstance,
+    Fault::OrdersUnavailable,
+    Fault::ReplaceHost,
+    Fault::CrashPrimary,
+    Fault::LateOrders,
+    Fault::ReplaceInstance,
+    Fault::KillAll,
+];
+
 /// The faults of the stream of unanswered calls.
 const UNANSWERED: [Fault; 3] =
     [Fault::StoreUnanswered, Fault::InstanceUnanswered, Fault::RefuseState];
@@ -166,6 +189,13 @@
         self.with_stream(&UNANSWERED, seed ^ UNANSWERED_STREAM, length)
     }
 
+    /// Adds replacements of instances and hosts, and promotion requests that are late or refused; the
+    /// other faults of the seed stay the same.
+    #[must_use]
+    pub fn with_replacements(self, seed: u64, length: Duration) -> Self {
+        self.with_stream(&REPLACEMENTS, seed ^ REPLACEMENT_STREAM, length)
+    }
+
     /// Adds client keys that come and go; the other faults of the seed stay the same.
     #[must_use]
     pub fn with_key_changes(self, seed: u64, length: Duration) -> Self {
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -50,6 +50,8 @@
     pub has_unanswered_calls: bool,
     /// Whether clients need keys, some of which come and go.
     pub has_key_changes: bool,
+    /// Whether a commit waits for one replica, and instances and hosts are replaced.
+    pub has_synchronous_groups: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -83,12 +85,17 @@
     if options.has_unanswered_calls {
         plan = plan.with_unanswered_calls(options.seed, options.length);
     }
+    let mut profile = InstanceProfile::default();
+    if options.has_synchronous_groups {
+        plan = plan.with_replacements(options.seed, options.length);
+        profile = InstanceProfile { sync_replicas: 1, ..profile };
+    }
     let mut ledger = None;
     if options.has_key_changes {
         plan = plan.with_key_changes(options.seed, options.length);
         ledger = Some(Arc::new(KeyLedger::new()));
     }
-    let cluster = LineCluster::start(options.groups, 3, InstanceProfile::default())?
+    let cluster = LineCluster::start(options.groups, 3, profile)?
         .with_max_connections(options.max_connections)
         .without_drain_check();
     let keys = ledger.clone().map(|ledger| (ledger, options.clients));
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -25,6 +25,7 @@
     OddEntries,
     UnansweredCalls,
     KeyChanges,
+    Synchronous,
 }
 
 fn check(seed: u64, length: Duration, max_connections: usize, added: Added) {
@@ -40,6 +41,7 @@
         has_odd_entries: added == Added::OddEntries,
         has_unanswered_calls: added == Added::UnansweredCalls,
         has_key_changes: added == Added::KeyChanges,
+        has_synchronous_groups: added == Added::Synchronous,
         clients: 6,
         log_dir: std::env::temp_dir().join(name),
     };
@@ -86,6 +88,11 @@
     check(SHORT_RUN_SEED, Duration::from_secs(8), FEW_CONNECTIONS, Added::KeyChanges);
 }
 
+#[test]
+fn a_short_run_with_synchronous_groups_and_replacements_keeps_the_guarantees() {
+    check(SHORT_RUN_SEED, Duration::from_secs(12), MANY_CONNECTIONS, Added::Synchronous);
+}
+
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
