Let other coordinators object to a retirement; fewer bytes and checks for quotas

Silence counts from when an index was first seen or its retirement was withdrawn. Most votes count only 1.5 s after a retirement was seen, in which a coordinator without a majority reads the record. Proofs are sent only where the other side needs one, and the record is checked ten times a second at most instead of with each message.

--- a/crates/persimmon-proxy/src/quota/exchange.rs
+++ b/crates/persimmon-proxy/src/quota/exchange.rs
@@ -21,6 +21,9 @@
 /// The same while an operation waits for a token.
 const WAITING_TICK: Duration = Duration::from_millis(10);
 
+/// How often a coordinator checks whether the record is to be read or changed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long a coordinator may take to answer: several round trips between failure domains, and less
 /// than half of the time of a lease.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -142,8 +145,15 @@
     fn sync_fleet(&self, now: Time, own: &str) {
         let mut member = self.member.borrow_mut();
         let mut coordinator = self.coordinator.borrow_mut();
+        let reads = self.fleet.reads();
+        let is_same = member.fleet().version == coordinator.fleet().version
+            && member.current_at() == coordinator.current_at()
+            && member.index().is_some() == coordinator.is_registered();
+        if is_same && self.synced.replace(reads) == reads {
+            return;
+        }
         let mut source = "member";
-        let mut is_news = member.learn(coordinator.fleet(), None, None);
+        let mut is_news = member.learn(coordinator.fleet(), None, coordinator.current_at());
         if let Some((fleet, read_at)) = self.fleet.read() {
             let is_read = member.learn(&fleet, self.fleet.index(own), Some(read_at));
             is_news |= is_read;
@@ -208,8 +218,13 @@
         let limit = |name: &str| limit_of(&snapshot, name, &quotas.bounds);
         let mut coordinator = quotas.coordinator.borrow_mut();
         let answer = coordinator.handle(now, request, index, limit);
-        let change = coordinator.due_change(now);
-        let needs_record = coordinator.needs_record(now) || !change.is_empty();
+        let mut change = RecordChange::default();
+        let mut needs_record = false;
+        if now >= quotas.check_at.get() {
+            quotas.check_at.set(now + CHECK_INTERVAL);
+            change = coordinator.due_change(now);
+            needs_record = coordinator.needs_record(now) || !change.is_empty();
+        }
         drop(coordinator);
         quotas.sync_fleet(now, &own);
         if quotas.member.borrow().index().is_none() {
--- a/crates/persimmon-proxy/src/quota/fleet_view.rs
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -2,6 +2,7 @@
 //! traffic thread, which needs it.
 
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use persimmon_types::Time;
@@ -34,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetView {
     state: Mutex<State>,
+    /// How often the record was set.
+    reads: AtomicU64,
     needed: Notify,
 }
 
@@ -48,6 +51,11 @@
         Some((Arc::clone(state.record.as_ref()?.fleet()), state.read_at?))
     }
 
+    /// How often the record has been read.
+    pub(crate) fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Acquire)
+    }
+
     /// The index of a daemon, if it is still registered.
     pub(crate) fn index(&self, daemon: &str) -> Option<u32> {
         let state = self.lock();
@@ -112,5 +120,7 @@
         state.known = later_fleet(&state.known, record.fleet());
         state.record = Some(record);
         state.read_at = Some(read_at);
+        drop(state);
+        self.reads.fetch_add(1, Ordering::Release);
     }
 }
--- a/crates/persimmon-proxy/src/quota/mod.rs
+++ b/crates/persimmon-proxy/src/quota/mod.rs
@@ -54,6 +54,10 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<Decision>>>,
     fleet: Arc<FleetView>,
     is_calling: Cell<bool>,
+    /// When the coordinator may next check the record.
+    check_at: Cell<Time>,
+    /// The number of the record that was taken over last.
+    synced: Cell<u64>,
     /// The coordinator whose lease was last logged.
     logged_lease: Cell<Option<SocketAddr>>,
     /// Notified when a message may be due.
@@ -96,6 +100,8 @@
             waiting: RefCell::default(),
             fleet,
             is_calling: Cell::new(false),
+            check_at: Cell::new(now),
+            synced: Cell::default(),
             logged_lease: Cell::new(None),
             due: Notify::new(),
         }
--- a/crates/persimmon-proxy/src/quota/wire.rs
+++ b/crates/persimmon-proxy/src/quota/wire.rs
@@ -34,9 +34,15 @@
     /// The age of the proof of that version, in milliseconds.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     proof_age: Option<u64>,
-    /// The coordinator's incarnation and its stamp, whether the share counts, and whether the vote does.
+    /// The coordinator's incarnation and its stamp.
     #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
-    claim: Option<(u32, u64, bool, bool)>,
+    claim: Option<(u32, u64)>,
+    /// Whether the claim's share does not count.
+    #[serde(rename = "s", default, skip_serializing_if = "is_false")]
+    has_no_share: bool,
+    /// Whether the claim's vote does not count.
+    #[serde(rename = "u", default, skip_serializing_if = "is_false")]
+    has_no_vote: bool,
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     is_leaving: bool,
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
@@ -53,7 +59,9 @@
             version: request.version,
             fleet: request.fleet.clone(),
             proof_age: request.proof_age.map(age_millis),
-            claim: request.claim.map(|c| (c.incarnation, c.stamp, c.is_valid, c.is_voter)),
+            claim: request.claim.map(|c| (c.incarnation, c.stamp)),
+            has_no_share: request.claim.is_some_and(|c| !c.is_valid),
+            has_no_vote: request.claim.is_some_and(|c| !c.is_voter),
             is_leaving: request.is_leaving,
             wants: wants.collect(),
         }
@@ -61,12 +69,8 @@
 
     /// The request, and the member's address if it knows no index.
     pub(crate) fn received(self) -> (Request, Option<SocketAddr>) {
-        let claim = |(incarnation, stamp, is_valid, is_voter)| Claim {
-            incarnation,
-            stamp,
-            is_valid,
-            is_voter,
-        };
+        let (is_valid, is_voter) = (!self.has_no_share, !self.has_no_vote);
+        let claim = |(incarnation, stamp)| Claim { incarnation, stamp, is_valid, is_voter };
         let wants = self.wants.into_iter().map(|(workspace, tokens)| Want { workspace, tokens });
         let request = Request {
             index: self.index,
@@ -95,9 +99,9 @@
     /// The age of the proof of that version, in milliseconds.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     proof_age: Option<u64>,
-    /// Whether it has a majority of the votes.
+    /// Whether it has no majority of the votes.
     #[serde(rename = "a", default, skip_serializing_if = "is_false")]
-    is_majority: bool,
+    is_minority: bool,
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     index: Option<u32>,
     /// Tokens and milliseconds after which to ask again, in the order of the request.
@@ -114,7 +118,7 @@
             version: answer.version,
             fleet: answer.fleet,
             proof_age: answer.proof_age.map(age_millis),
-            is_majority: answer.is_majority,
+            is_minority: !answer.is_majority,
             index: answer.index,
             grants: grants.collect(),
         }
@@ -133,7 +137,7 @@
             version: wire.version,
             fleet: wire.fleet,
             proof_age: wire.proof_age.map(Duration::from_millis),
-            is_majority: wire.is_majority,
+            is_majority: !wire.is_minority,
             index: wire.index,
             grants: grants.collect(),
         }
--- a/crates/persimmon-workspace/src/quota/coordinator.rs
+++ b/crates/persimmon-workspace/src/quota/coordinator.rs
@@ -22,6 +22,10 @@
 /// How often the record is read without a majority of the votes; only the record proves then.
 const MINORITY_READ_INTERVAL: Duration = Duration::from_millis(800);
 
+/// How long a coordinator without a majority waits for members to lease to it before it reads the
+/// record.
+const ASSEMBLY_TIME: Duration = Duration::from_millis(1_000);
+
 /// How often it is read while members have no vote.
 const NON_VOTER_READ_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -118,6 +122,12 @@
         self.current_at
     }
 
+    /// Whether this daemon is registered.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.is_registered
+    }
+
     /// The number of leases that count at present.
     #[must_use]
     pub fn leases(&self) -> usize {
@@ -151,12 +161,13 @@
         }
         let age = self.current_at.map_or(Duration::MAX, |at| now.since(at));
         let has_non_voter = self.leases.values().any(|l| l.end >= now + BATCH && !l.is_voter);
-        let limit = match () {
-            () if !self.fleet.is_majority(self.votes) => MINORITY_READ_INTERVAL,
-            () if has_non_voter => NON_VOTER_READ_INTERVAL,
-            () => RECORD_TIME / 3,
-        };
-        age >= limit
+        if has_non_voter && age >= NON_VOTER_READ_INTERVAL {
+            return true;
+        }
+        if self.fleet.is_majority(self.votes) {
+            return age >= RECORD_TIME / 3;
+        }
+        age >= MINORITY_READ_INTERVAL && self.retirement.has_coordinated_for(now, ASSEMBLY_TIME)
     }
 
     /// The change of the record that is due.
@@ -281,13 +292,16 @@
             };
             grants.push(grant);
         }
+        let is_majority = self.is_majority(now);
+        // Most answers need none.
+        let needs_proof = !is_majority || !request.claim.is_some_and(|c| c.is_voter);
         Answer {
             incarnation: self.incarnation,
             stamp: now.as_micros(),
             version: self.fleet.version,
             fleet: (request.version < self.fleet.version).then(|| Arc::clone(&self.fleet)),
-            proof_age: self.current_at.map(|at| now.since(at)),
-            is_majority: self.is_majority(now),
+            proof_age: self.current_at.map(|at| now.since(at)).filter(|_| needs_proof),
+            is_majority,
             index: index.filter(|_| request.index.is_none()),
             grants,
         }
--- a/crates/persimmon-workspace/src/quota/member.rs
+++ b/crates/persimmon-workspace/src/quota/member.rs
@@ -43,6 +43,8 @@
     received_at: Time,
     /// The version of the fleet that it knows.
     version: u64,
+    /// Whether it has a majority of the votes, and so knows that its version is not outdated.
+    is_majority: bool,
 }
 
 /// What a member has of one workspace.
@@ -262,10 +264,13 @@
     }
 
     fn request(&self, now: Time, coordinator: SocketAddr) -> Request {
-        let known = self.contact.filter(|c| c.holder.address == coordinator).map(|c| c.version);
-        let is_news = known.is_some_and(|version| version < self.fleet().version);
+        let contact = self.contact.filter(|c| c.holder.address == coordinator);
+        let is_news = contact.is_some_and(|c| c.version < self.fleet().version);
         let fleet = is_news.then(|| Arc::clone(self.fleet()));
-        Request { fleet, ..self.probe(now) }
+        let request = self.probe(now);
+        let needs_proof = contact.is_none_or(|c| !c.is_majority);
+        let proof_age = request.proof_age.filter(|_| needs_proof);
+        Request { fleet, proof_age, ..request }
     }
 
     fn wants(&mut self, now: Time) -> (Vec<Want>, bool) {
@@ -337,8 +342,9 @@
         let holder = Holder { address: coordinator, incarnation: answer.incarnation };
         let is_newer = self.contact.is_none_or(|c| c.holder != holder || c.stamp < answer.stamp);
         if is_newer {
-            let (stamp, version) = (answer.stamp, answer.version);
-            self.contact = Some(Contact { holder, stamp, received_at: now, version });
+            let (stamp, version, is_majority) = (answer.stamp, answer.version, answer.is_majority);
+            let contact = Contact { holder, stamp, received_at: now, version, is_majority };
+            self.contact = Some(contact);
         }
         let was_valid = self.registration.is_valid_until(now + LEASE_TIME);
         let learned = answer.fleet.clone().unwrap_or_else(|| Arc::clone(self.fleet()));
--- a/crates/persimmon-workspace/src/quota/message.rs
+++ b/crates/persimmon-workspace/src/quota/message.rs
@@ -37,7 +37,8 @@
     pub version: u64,
     /// That version, if the coordinator is known to have an earlier one.
     pub fleet: Option<Arc<Fleet>>,
-    /// How long ago that version was not yet outdated; `None` if unknown.
+    /// How long ago that version was not yet outdated; `None` if unknown, or if the coordinator needs no
+    /// proof.
     pub proof_age: Option<Duration>,
     /// The lease of its share; `None` if it leases nothing with this message.
     pub claim: Option<Claim>,
@@ -67,7 +68,8 @@
     pub version: u64,
     /// That version, if the member has an earlier one.
     pub fleet: Option<Arc<Fleet>>,
-    /// How long ago that version was not yet outdated; `None` if unknown.
+    /// How long ago that version was not yet outdated; `None` if unknown, or if the member needs no
+    /// proof.
     pub proof_age: Option<Duration>,
     /// Whether it has a majority of the votes, so that no daemon is removed without its knowledge.
     pub is_majority: bool,
--- a/crates/persimmon-workspace/src/quota/retirement.rs
+++ b/crates/persimmon-workspace/src/quota/retirement.rs
@@ -4,7 +4,7 @@
 //! record: it is named as retiring; most votes know that, so that no coordinator without that
 //! knowledge can prove its registration; it is removed once every proof has ended.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use persimmon_types::Time;
@@ -22,6 +22,10 @@
 /// How lately a retiring daemon must have been heard of to stay registered.
 const RETURN_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// How long other coordinators have to object to a retirement: those without a majority read the record
+/// more often.
+const OBJECTION_TIME: Duration = Duration::from_millis(1_500);
+
 /// What clocks of two hosts may differ by in the waits below.
 const CLOCK_MARGIN: Duration = Duration::from_millis(200);
 
@@ -30,6 +34,8 @@
 pub(crate) struct Retirement {
     /// When each daemon was heard of last.
     heard: HashMap<u32, Time>,
+    /// The daemons that retire by the version that it knows.
+    retiring: HashSet<u32>,
     /// Since when it has had leases without a pause.
     coordinates_since: Option<Time>,
     /// When each retirement was first seen, and whether most votes knew of it then.
@@ -50,6 +56,11 @@
         }
     }
 
+    /// Whether it has had leases for `time` without a pause.
+    pub(crate) fn has_coordinated_for(&self, now: Time, time: Duration) -> bool {
+        self.coordinates_since.is_some_and(|since| now.since(since) >= time)
+    }
+
     /// Takes over a version of the fleet.
     pub(crate) fn record_fleet(&mut self, now: Time, fleet: &Fleet) {
         let key = |r: &Retiring| (r.index, r.since, r.is_known);
@@ -58,6 +69,17 @@
             self.seen.entry(key(r)).or_insert(now);
         }
         self.heard.retain(|index, _| fleet.contains(*index));
+        // Another coordinator has heard of a daemon that was just registered, or retires no more.
+        for index in fleet.indices() {
+            if fleet.is_retiring(index) {
+                continue;
+            }
+            if self.retiring.contains(&index) {
+                self.heard.insert(index, now);
+            }
+            self.heard.entry(index).or_insert(now);
+        }
+        self.retiring = fleet.retiring().iter().map(|r| r.index).collect();
     }
 
     /// The change that is due. `voters` has the version that each daemon with a vote knows.
@@ -86,15 +108,15 @@
                 change.returned.push(r.index);
                 continue;
             }
+            let seen_at = self.seen.get(&(r.index, r.since, r.is_known)).copied();
+            let has_waited = |wait| seen_at.is_some_and(|at| now.since(at) >= wait);
             let knowing = voters.iter().filter(|version| **version >= r.since).count();
-            if !r.is_known && fleet.is_majority(knowing) {
+            if !r.is_known && has_waited(OBJECTION_TIME) && fleet.is_majority(knowing) {
                 change.known.push(id);
                 continue;
             }
             let wait = if r.is_known { Duration::ZERO } else { RECORD_TIME };
-            let wait = wait + REGISTRATION_TIME + CLOCK_MARGIN;
-            let seen_at = self.seen.get(&(r.index, r.since, r.is_known));
-            if seen_at.is_some_and(|at| now.since(*at) >= wait) {
+            if has_waited(wait + REGISTRATION_TIME + CLOCK_MARGIN) {
                 change.ended.push(id);
             }
         }
