A read of the record keeps every daemon that its coordinator has heard of

On the deployment of 124 hosts, 14 live members of a second coordinator still retired and registered anew while the fleet assembled: its objection took a read to learn of the retirement and another one to withdraw it, and what the first coordinator wanted was written once more after a conflict, although the record had changed.

A change names the daemons that were heard of lately, so that the read that shows their retirement withdraws it. After a conflict the coordinator finds anew what is due. A promotion's proof of the directory is from after the replicas were stopped, not from before.

--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -57,7 +57,8 @@
                 for daemon in need.unregistered {
                     fleet.request(Some(daemon), RecordChange::default());
                 }
-                fleet.request(None, need.change);
+                // The coordinator finds anew what is due: another one may have changed the record.
+                fleet.request(None, RecordChange::default());
                 backoff.pause().await;
             }
         }
--- a/crates/persimmon-proxy/src/control/replication.rs
+++ b/crates/persimmon-proxy/src/control/replication.rs
@@ -73,8 +73,8 @@
         covered.iter().filter(|e| !is_old_primary(&e.instance.id)).cloned().collect();
     answers.clear();
     for _ in 0..MAX_JOIN_ROUNDS {
-        let closed_at = Clock.now();
         answers.extend(running.probes.query_status(control, &next, command).await);
+        let closed_at = Clock.now();
         let is_proved = view::prove_view_since(control, closed_at).await;
         if !is_proved && demoted.is_none() {
             return Input::NotClaimed;
--- a/crates/persimmon-proxy/src/quota/exchange.rs
+++ b/crates/persimmon-proxy/src/quota/exchange.rs
@@ -223,7 +223,7 @@
         if now >= quotas.check_at.get() {
             quotas.check_at.set(now + CHECK_INTERVAL);
             change = coordinator.due_change(now);
-            needs_record = coordinator.needs_record(now) || !change.is_empty();
+            needs_record = coordinator.needs_record(now) || !change.is_empty(coordinator.fleet());
         }
         drop(coordinator);
         quotas.sync_fleet(now, &own);
--- a/crates/persimmon-proxy/src/quota/fleet_view.rs
+++ b/crates/persimmon-proxy/src/quota/fleet_view.rs
@@ -87,7 +87,7 @@
         if need.unregistered.len() < MAX_UNREGISTERED {
             need.unregistered.extend(daemon);
         }
-        if !change.is_empty() {
+        if change != RecordChange::default() {
             need.change = change;
         }
         drop(state);
--- a/crates/persimmon-workspace/src/quota/record.rs
+++ b/crates/persimmon-workspace/src/quota/record.rs
@@ -20,8 +20,8 @@
     pub confirmed: Option<u64>,
     /// Daemons that have not been heard of for long.
     pub silent: Vec<u32>,
-    /// Retiring daemons that have been heard of.
-    pub returned: Vec<u32>,
+    /// Daemons that have been heard of lately. Those that retire stay.
+    pub active: Vec<u32>,
     /// Retiring daemons of which most votes know, each with the version since which it retires.
     pub known: Vec<(u32, u64)>,
     /// Retiring daemons that lease nothing any more, each with the version since which it retires.
@@ -29,10 +29,15 @@
 }
 
 impl RecordChange {
-    /// Whether nothing is to be changed.
+    /// Whether nothing is to be changed in the record that has this version of the fleet.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+    pub fn is_empty(&self, fleet: &Fleet) -> bool {
+        let stays = |r: &Retiring| !r.is_known && self.active.contains(&r.index);
+        self.confirmed.is_none()
+            && self.silent.is_empty()
+            && self.known.is_empty()
+            && self.ended.is_empty()
+            && !fleet.retiring().iter().any(stays)
     }
 }
 
@@ -120,10 +125,10 @@
         for r in &mut retiring {
             r.is_known |= change.known.contains(&(r.index, r.since));
         }
-        let mut returned = change.returned.clone();
+        let mut staying = change.active.clone();
         for member in members {
             match record.indices.get(&member).filter(|index| !ended.contains(index)) {
-                Some(index) => returned.push(*index),
+                Some(index) => staying.push(*index),
                 None => {
                     record.indices.insert(Arc::clone(&member), record.next_index);
                     record.members.push((member, record.next_index));
@@ -131,7 +136,7 @@
                 }
             }
         }
-        retiring.retain(|r| r.is_known || !returned.contains(&r.index));
+        retiring.retain(|r| r.is_known || !staying.contains(&r.index));
         for index in &change.silent {
             let is_new = !retiring.iter().any(|r| r.index == *index);
             if is_new && record.members.iter().any(|(_, i)| i == index) {
--- a/crates/persimmon-workspace/src/quota/retirement.rs
+++ b/crates/persimmon-workspace/src/quota/retirement.rs
@@ -96,6 +96,8 @@
         };
         let limit = if is_majority { SILENCE_LIMIT } else { MINORITY_SILENCE_LIMIT };
         let heard_at = |index: u32| self.heard.get(&index).copied();
+        let is_active = |(_, at): &(&u32, &Time)| now.since(**at) < RETURN_LIMIT;
+        change.active = self.heard.iter().filter(is_active).map(|(index, _)| *index).collect();
         for index in fleet.indices() {
             let silent_since = heard_at(index).map_or(since, |at| at.max(since));
             if now.since(silent_since) >= limit && !fleet.is_retiring(index) {
@@ -104,8 +106,7 @@
         }
         for r in fleet.retiring() {
             let id = (r.index, r.since);
-            if !r.is_known && heard_at(r.index).is_some_and(|at| now.since(at) < RETURN_LIMIT) {
-                change.returned.push(r.index);
+            if !r.is_known && change.active.contains(&r.index) {
                 continue;
             }
             let seen_at = self.seen.get(&(r.index, r.since, r.is_known)).copied();
--- a/crates/persimmon-workspace/tests/quota_fleet/mod.rs
+++ b/crates/persimmon-workspace/tests/quota_fleet/mod.rs
@@ -475,7 +475,7 @@
         let needs = index.is_none()
             || daemon.member.index().is_none()
             || daemon.coordinator.needs_record(now)
-            || !daemon.coordinator.due_change(now).is_empty();
+            || !daemon.coordinator.due_change(now).is_empty(daemon.coordinator.fleet());
         if needs && !daemon.is_registering && daemon.sees_store {
             daemon.is_registering = true;
             let life = daemon.life;
--- a/crates/persimmon-workspace/tests/quota_parts.rs
+++ b/crates/persimmon-workspace/tests/quota_parts.rs
@@ -165,7 +165,7 @@
     let known =
         changed(&retiring, RecordChange { known: vec![(1, since)], ..RecordChange::default() });
     assert_eq!((known.fleet().registered(), known.fleet().floor()), (3, 2));
-    let returned = RecordChange { returned: vec![1], ..RecordChange::default() };
+    let returned = RecordChange { active: vec![1], ..RecordChange::default() };
     assert_eq!(FleetRecord::updated(Some(&known), [name(1)], &returned), None, "too late");
     let ended = RecordChange { ended: vec![(1, since)], ..RecordChange::default() };
     let removed = changed(&known, ended);
@@ -179,7 +179,7 @@
 fn a_retiring_daemon_that_is_heard_of_stays_registered() {
     let retiring =
         changed(&first_record(3), RecordChange { silent: vec![1], ..RecordChange::default() });
-    let returned = RecordChange { returned: vec![1], ..RecordChange::default() };
+    let returned = RecordChange { active: vec![1], ..RecordChange::default() };
 
     let by_message = changed(&retiring, returned);
     let by_start = FleetRecord::updated(Some(&retiring), [name(1)], &RecordChange::default());
