Count and log requests and answers that are cut when a connection ends

Nothing told whether a request had been received, or an answer was still to be sent, when a session ended. Sessions now record why they end; the metrics requests_cut and answers_cut, each with a log line that names the reason, tell the hypotheses of the incident apart: an answer that comes after the end of its connection means that the request had run.

--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -87,6 +87,10 @@
     sessions_closed_half_message,
     /// Sessions closed because their clients do not read answers.
     sessions_closed_unread,
+    /// Requests that had been received, and were not handled when their connection ended.
+    requests_cut,
+    /// Answers that were not sent, or not as a whole, when their connection ended.
+    answers_cut,
     /// Messages refused because those of all sessions occupy too much memory.
     messages_refused,
     /// Forwarded statements refused because those of all daemons occupy too much memory.
@@ -155,6 +159,11 @@
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Adds to a counter.
+    pub fn add(counter: &AtomicU64, count: u64) {
+        counter.fetch_add(count, Ordering::Relaxed);
+    }
+
     /// Renders the metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -6,6 +6,7 @@
 //! - A "not run" error is sent only if no instance can still commit the transaction.
 
 mod codec;
+mod ending;
 mod flow;
 mod identity;
 pub(crate) mod registry;
@@ -30,6 +31,7 @@
 use crate::memory_budget::MemoryShare;
 use crate::metrics::Metrics;
 use crate::session::codec::ClientCodec;
+use crate::session::ending::EndReason;
 pub(crate) use crate::session::flow::refuse;
 use crate::session::registry::Entry;
 use crate::session::state::{SessionState, StateLimit};
@@ -81,9 +83,8 @@
 
 enum Wake {
     Message(ClientMessage),
-    Disconnected,
     IdleTooLong,
-    Close,
+    End(EndReason),
 }
 
 /// Serves one client until either side ends the session.
@@ -96,6 +97,12 @@
     let codec = ClientCodec::new(worker, Rc::clone(entry));
     let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
     let Ok(Ok(Some(ClientMessage::Open { database, key }))) = opened else {
+        entry.record_end(match opened {
+            Err(_) => EndReason::StartupTimeout,
+            Ok(Ok(None) | Err(ntex::util::Either::Right(_))) => EndReason::ClientLeft,
+            Ok(_) => EndReason::ProtocolViolation,
+        });
+        ending::record(worker, entry, &io, &codec);
         return;
     };
     Metrics::increment(&worker.metrics.sessions_opened);
@@ -115,10 +122,12 @@
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
     };
-    session.run().await;
+    let reason = session.run().await;
+    entry.record_end(reason);
     session.rollback_detached();
     // Flushes the last replies; the session ends whether or not this succeeds.
     let _ = session.io.shutdown().await;
+    ending::record(worker, entry, &session.io, &session.codec);
     drop(session);
     worker.record_state_bytes();
     worker.sessions.set(worker.sessions.get() - 1);
@@ -126,9 +135,9 @@
 }
 
 impl Session {
-    async fn run(&mut self) {
+    async fn run(&mut self) -> EndReason {
         if !self.start().await {
-            return;
+            return EndReason::StartRefused;
         }
         let mut handled = 0_u32;
         loop {
@@ -147,14 +156,17 @@
                     };
                     drop(query);
                     self.codec.release();
-                    if !continues || !self.await_reader().await {
-                        return;
+                    if !continues {
+                        return EndReason::KeyRevoked;
+                    }
+                    if !self.await_reader().await {
+                        return self.unflushed_reason();
                     }
                 }
                 Wake::IdleTooLong => self.end_idle_transaction(),
-                Wake::Message(ClientMessage::Open { .. } | ClientMessage::Terminate)
-                | Wake::Disconnected
-                | Wake::Close => return,
+                Wake::Message(ClientMessage::Open { .. }) => return EndReason::ProtocolViolation,
+                Wake::Message(ClientMessage::Terminate) => return EndReason::ClientLeft,
+                Wake::End(reason) => return reason,
             }
         }
     }
@@ -165,7 +177,9 @@
             self.codec.protocol.encode(reply, &mut buf);
         }
         // A closed connection is detected by the next receive.
-        let _ = self.io.encode_slice(&buf);
+        if self.io.encode_slice(&buf).is_err() || self.io.is_closed() {
+            self.codec.entry.record_undelivered(&self.worker, buf.len());
+        }
     }
 
     async fn wake(&mut self) -> Wake {
@@ -179,7 +193,7 @@
                 // A request that has already arrived is served first.
                 return match self.io.recv(&self.codec).now_or_never() {
                     Some(Ok(Some(message))) if is_idle => Wake::Message(message),
-                    _ => Wake::Close,
+                    _ => Wake::End(EndReason::Shutdown),
                 };
             }
             let idle_left = self.idle_time_left();
@@ -207,9 +221,9 @@
                     ProtocolError::NoRoom => refusal(ErrorCode::Busy, RETRY_AFTER),
                     _ => error(ErrorCode::Malformed, &err.to_string()),
                 }]);
-                Wake::Disconnected
+                Wake::End(EndReason::ProtocolViolation)
             }
-            Ok(None) | Err(ntex::util::Either::Right(_)) => Wake::Disconnected,
+            Ok(None) | Err(ntex::util::Either::Right(_)) => Wake::End(EndReason::ClientLeft),
         }
     }
 
--- a/crates/persimmon-proxy/src/session/flow.rs
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -9,6 +9,7 @@
 
 use crate::client_limits::Phase;
 use crate::metrics::Metrics;
+use crate::session::ending::EndReason;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
@@ -66,6 +67,15 @@
         continues
     }
 
+    /// Why a session ends whose client has not read its answers.
+    pub(super) fn unflushed_reason(&self) -> EndReason {
+        if *self.worker.stage.borrow() >= ShutdownStage::AbortingTransactions {
+            EndReason::Shutdown
+        } else {
+            EndReason::ClientLeft
+        }
+    }
+
     async fn flush(&mut self) -> bool {
         let mut stage = self.worker.stage.clone();
         loop {
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -11,6 +11,7 @@
 use crate::client_limits::{ClientLimits, Phase, SessionView, session_to_close, unread_to_close};
 use crate::logging::LogBudget;
 use crate::metrics::Metrics;
+use crate::session::ending::EndReason;
 
 /// One session.
 #[derive(Debug)]
@@ -20,6 +21,8 @@
     phase: Cell<Phase>,
     since: Cell<Time>,
     unread: Cell<usize>,
+    /// Why the session ends; the first reason counts.
+    end: Cell<Option<EndReason>>,
 }
 
 impl Entry {
@@ -35,6 +38,16 @@
         self.phase.get()
     }
 
+    /// Records why the session ends, unless a reason is recorded already.
+    pub(crate) fn record_end(&self, reason: EndReason) {
+        self.end.set(self.end.get().or(Some(reason)));
+    }
+
+    /// Why the session ends.
+    pub(crate) fn end(&self) -> Option<EndReason> {
+        self.end.get()
+    }
+
     fn view(&self) -> SessionView {
         SessionView {
             id: self.id,
@@ -80,7 +93,7 @@
             return false;
         };
         Metrics::increment(&self.metrics.sessions_closed_for_room);
-        self.close(victim, log, "session closed: its place is needed");
+        self.close(victim, EndReason::NoRoom, log, "session closed: its place is needed");
         true
     }
 
@@ -94,6 +107,7 @@
             phase: Cell::new(Phase::Starting),
             since: Cell::new(Clock.now()),
             unread: Cell::new(0),
+            end: Cell::new(None),
         });
         self.entries.borrow_mut().insert(id, Rc::clone(&entry));
         entry
@@ -115,7 +129,8 @@
             unread_to_close(self.views().into_iter(), entry.id, self.limits.unread_bytes)
         {
             Metrics::increment(&self.metrics.sessions_closed_unread);
-            self.close(victim, log, "session closed: unread answers exceed their limit");
+            let reason = "session closed: unread answers exceed their limit";
+            self.close(victim, EndReason::Unread, log, reason);
         }
     }
 
@@ -131,7 +146,8 @@
             } else {
                 &self.metrics.sessions_closed_half_message
             });
-            self.close(session, log, "session closed: its client took too long");
+            let end = if is_unread { EndReason::Unread } else { EndReason::HalfMessage };
+            self.close(session, end, log, "session closed: its client took too long");
         }
     }
 
@@ -139,7 +155,7 @@
         self.entries.borrow().values().map(|entry| entry.view()).collect()
     }
 
-    fn close(&self, session: SessionView, log: &LogBudget, reason: &str) {
+    fn close(&self, session: SessionView, end: EndReason, log: &LogBudget, reason: &str) {
         if log.should_log(true) {
             tracing::info!(phase = ?session.phase, unread = session.unread,
                 ms = u64::try_from(Clock.now().since(session.since).as_millis()).unwrap_or(u64::MAX),
@@ -147,6 +163,7 @@
         }
         let entry = self.entries.borrow_mut().remove(&session.id);
         if let Some(entry) = entry {
+            entry.record_end(end);
             entry.io.terminate();
         }
     }
