--- a/crates/persimmon-lab/src/line_cluster/client.rs
+++ b/crates/persimmon-lab/src/line_cluster/client.rs
@@ -1,7 +1,7 @@
 //! A client that speaks the line protocol.
 
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -68,11 +68,7 @@
         key: &str,
         name: &str,
     ) -> io::Result<Self> {
-        let stream = TcpStream::connect_timeout(&address, RESPONSE_TIMEOUT)?;
-        stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
-        stream.set_nodelay(true)?;
-        let lines = BufReader::new(stream.try_clone()?);
-        let mut client = Self { stream, lines, id: String::new(), name: name.to_owned() };
+        let mut client = Self::connect(address, name)?;
         write!(client.stream, "STARTUP {database} {key}\r\n")?;
         let line = client.read_line()?;
         if line.starts_with("READY I") {
@@ -81,6 +77,19 @@
         Err(io::Error::other(line))
     }
 
+    /// Connects without a startup message; `name` is the first part of each request's id.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection cannot be opened.
+    pub fn connect(address: SocketAddr, name: &str) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, RESPONSE_TIMEOUT)?;
+        stream.set_read_timeout(Some(RESPONSE_TIMEOUT))?;
+        stream.set_nodelay(true)?;
+        let lines = BufReader::new(stream.try_clone()?);
+        Ok(Self { stream, lines, id: String::new(), name: name.to_owned() })
+    }
+
     fn read_line(&mut self) -> io::Result<String> {
         let mut line = String::new();
         if self.lines.read_line(&mut line)? == 0 {
@@ -104,6 +113,15 @@
         self.stream.write_all(bytes)
     }
 
+    /// Ends the messages to the daemon; responses can still be received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn finish_sending(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
     /// Sends a request without waiting for its response.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/persimmond/tests/session_ends.rs
@@ -0,0 +1,212 @@
+//! Guards against requests that a daemon has received and that get neither an answer nor a refusal when
+//! it ends their session.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
+use rustix::process::Signal;
+
+use crate::fleet::keys::{FIRST_VERSION, cluster_with, is_active, put_workspaces};
+use crate::fleet::{CONDITION_TIMEOUT, Setup, holds_within, setup, setup_on, setup_with_limits};
+
+/// Descriptors of a host with room for a hundred sessions.
+const FEW_FDS: usize = 400;
+
+/// Sessions for which such a host has room.
+const FEW_SESSIONS: usize = 100;
+
+/// Age from which on an idle session may be closed for room.
+const IDLE_GRACE: Duration = Duration::from_secs(10);
+
+/// How long a client may take to send the rest of a message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How long a client may take to send its startup message.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long a host stands still, so that what is due meanwhile and what arrives meanwhile are handled
+/// together.
+const STILL: Duration = Duration::from_millis(600);
+
+const KEYS: &[(&str, &[&str])] = &[("amber", &["akey"]), ("birch", &["bkey"])];
+
+const WITHOUT_AKEY: &[(&str, &[&str])] = &[("birch", &["bkey"])];
+
+/// Keeps a daemon's process from running until dropped.
+struct Stopped<'a>(&'a Daemon);
+
+impl<'a> Stopped<'a> {
+    fn new(daemon: &'a Daemon) -> Self {
+        daemon.signal(Signal::STOP);
+        Self(daemon)
+    }
+}
+
+impl Drop for Stopped<'_> {
+    fn drop(&mut self) {
+        self.0.signal(Signal::CONT);
+    }
+}
+
+fn setup_with_few_sessions(name: &str) -> Setup {
+    let cluster = LineCluster::start(1, 3, InstanceProfile::default());
+    let limits = format!("[limits]\nmax_fds = {FEW_FDS}\n");
+    setup_with_limits(name, 1, cluster.expect("the fake platform starts"), &limits)
+}
+
+/// Guards against a request whose client sends nothing after it, and whose answer is dropped with the
+/// end of the client's messages.
+#[test]
+fn request_before_the_end_of_the_clients_messages_is_answered() {
+    let setup = setup("ends-half", 1);
+    for statement in ["READ item", "WRITE item x"] {
+        let mut client = setup.client(0, "p0", "c");
+
+        client.send(statement).expect("the request is sent");
+        client.finish_sending().expect("the end is sent");
+
+        let response = client.receive_response().expect("a response");
+        assert!(response.result.is_ok(), "{statement}: {response:?}");
+    }
+    setup.assert_no_violations();
+}
+
+/// Guards against requests that arrive just as their sessions are closed for room.
+#[test]
+fn requests_of_sessions_that_are_closed_for_room_are_answered() {
+    let setup = setup_with_few_sessions("ends-room");
+    let mut clients: Vec<LineClient> =
+        (0..FEW_SESSIONS).map(|n| setup.client(0, "p0", &format!("c{n}"))).collect();
+    for client in &mut clients {
+        assert!(client.query("READ item").expect("a response").result.is_ok());
+    }
+    std::thread::sleep(IDLE_GRACE + Duration::from_millis(200));
+    let address = setup.daemons[0].addresses.clients;
+
+    let stopped = Stopped::new(&setup.daemons[0]);
+    let newcomers: Vec<std::net::TcpStream> = (0..FEW_SESSIONS / 2)
+        .map(|_| std::net::TcpStream::connect(address).expect("the connection opens"))
+        .collect();
+    for client in &mut clients {
+        client.send("READ item").expect("the request is sent");
+    }
+    drop(stopped);
+
+    let answered = clients.iter_mut().filter_map(|c| c.receive_response().ok()).count();
+    assert_eq!(answered, FEW_SESSIONS);
+    drop(newcomers);
+    setup.assert_no_violations();
+}
+
+/// Guards against a message whose rest arrives just as the client has taken too long to send it.
+#[test]
+fn request_completed_as_its_time_runs_out_is_answered() {
+    let setup = setup("ends-half-message", 1);
+    let mut client = setup.client(0, "p0", "c");
+    client.send_raw(b"QUERY c:h READ ").expect("half of the request is sent");
+    std::thread::sleep(MESSAGE_TIMEOUT - STILL / 2);
+
+    let stopped = Stopped::new(&setup.daemons[0]);
+    client.send_raw(b"item\r\n").expect("the rest is sent");
+    std::thread::sleep(STILL);
+    drop(stopped);
+
+    assert!(client.receive_response().expect("a response").result.is_ok());
+}
+
+/// Guards against a startup message whose rest arrives just as the client has taken too long.
+#[test]
+fn startup_completed_as_its_time_runs_out_is_answered() {
+    let setup = setup("ends-startup", 1);
+    let mut client = LineClient::connect(setup.daemons[0].addresses.clients, "c").expect("it opens");
+    client.send_raw(b"STARTUP p0 ").expect("half of the startup message is sent");
+    std::thread::sleep(STARTUP_TIMEOUT - STILL / 2);
+
+    let stopped = Stopped::new(&setup.daemons[0]);
+    client.send_raw(b"c\r\n").expect("the rest is sent");
+    std::thread::sleep(STILL);
+    drop(stopped);
+
+    assert_eq!(client.receive_response().expect("a response").state, "I");
+}
+
+/// Guards against a request that follows at once on the refusal that ends its session.
+#[test]
+fn requests_that_follow_on_the_refusal_of_a_removed_key_are_refused_too() {
+    let cluster = cluster_with(KEYS, 60);
+    let setup = setup_on("ends-key", 1, cluster);
+    let mut clients: Vec<LineClient> = (0..40).map(|_| setup.client(0, "p0", "akey")).collect();
+    for client in &mut clients {
+        assert!(client.query("READ item").expect("a response").result.is_ok());
+    }
+    put_workspaces(&setup, FIRST_VERSION + 1, WITHOUT_AKEY);
+    assert!(holds_within(CONDITION_TIMEOUT, || is_active(&setup, 0, FIRST_VERSION + 1)));
+
+    for client in &mut clients {
+        for _ in 0..5 {
+            let response = client.query("READ item").expect("a response");
+            assert_eq!(response.code(), Some("NOAUTH"), "{response:?}");
+        }
+    }
+
+    for client in &mut clients {
+        assert!(client.is_closed());
+    }
+}
+
+/// What a client that sends each request at once on the answer to the one before has seen.
+#[derive(Debug, Default)]
+struct Seen {
+    answers: usize,
+    cut: usize,
+    refused: usize,
+}
+
+/// Sends requests until one is refused or the connection ends.
+fn send_at_once(address: SocketAddr, name: String, stops: &'static AtomicBool) -> JoinHandle<Seen> {
+    std::thread::spawn(move || {
+        let mut seen = Seen::default();
+        let mut client = LineClient::open(address, "p0", &name).expect("the session opens");
+        while !stops.load(Ordering::Relaxed) {
+            match client.query("READ item") {
+                Ok(response) if response.result.is_ok() => seen.answers += 1,
+                Ok(_) => {
+                    seen.refused += 1;
+                    break;
+                }
+                Err(_) => {
+                    seen.cut += 1;
+                    break;
+                }
+            }
+        }
+        seen
+    })
+}
+
+/// Guards against requests that follow at once on an answer while the idle sessions of a daemon that
+/// stops are closed.
+#[test]
+fn requests_that_follow_on_an_answer_during_a_shutdown_are_answered() {
+    static STOPS: AtomicBool = AtomicBool::new(false);
+    let mut setup = setup("ends-shutdown", 1);
+    let address = setup.daemons[0].addresses.clients;
+    let clients: Vec<JoinHandle<Seen>> =
+        (0..12).map(|n| send_at_once(address, format!("c{n}"), &STOPS)).collect();
+    std::thread::sleep(Duration::from_secs(1));
+
+    let stopped_at = Instant::now();
+    setup.daemons[0].signal(Signal::TERM);
+
+    let seen: Vec<Seen> = clients.into_iter().map(|c| c.join().expect("no panic")).collect();
+    assert!(seen.iter().all(|s| s.answers > 0 && s.cut == 0), "{seen:?}");
+    let daemon = &mut setup.daemons[0];
+    let has_exited = || daemon.try_wait().expect("the process is asked").is_some();
+    assert!(holds_within(Duration::from_secs(6), has_exited), "{:?}", stopped_at.elapsed());
+    setup.assert_no_violations();
+}
