Answer requests that arrive as their sessions are closed

What callers saw: a request that got neither an answer nor a refusal, in part after it had run. Cause: a session could be closed by something other than its own task (for room, for a message that takes too long) by what the task had noted last; the task then decoded what had arrived since, ran it, and had no connection for the answer. In the same way the end of a client's messages ended its connection, so that a client that half-closes lost its answer. Change: sessions have a connection of their own. It is read only while the session waits for a message, its close refuses while a whole message is there, also one that only the kernel has yet, and the end of input leaves the output open. The registry tries the next session if one refuses.

--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod active_table;
 mod adapter;
+mod client_connection;
 mod client_limits;
 mod connection;
 mod connection_waiter;
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -4,6 +4,7 @@
 //!
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
+//! - A session ends only once its connection is at rest: every request that has arrived is answered.
 
 mod codec;
 mod ending;
@@ -17,8 +18,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::FutureExt;
-use ntex::io::Io;
 use ntex::util::BytesMut;
 use persimmon_interfaces::{
     ClientMessage, ErrorCode, ProtocolError, Query, Reply, Route, Statement, TxStatus,
@@ -26,6 +25,7 @@
 use persimmon_types::{Clock, Position, Time};
 use persimmon_workspace::ClientKey;
 
+use crate::client_connection::ClientConnection;
 use crate::client_limits::Phase;
 use crate::connection::Answer;
 use crate::memory_budget::MemoryShare;
@@ -36,12 +36,9 @@
 use crate::session::registry::Entry;
 use crate::session::state::{SessionState, StateLimit};
 use crate::statement_job::{Caller, RETRY_AFTER};
-use crate::traffic::{ShutdownStage, Worker};
+use crate::traffic::Worker;
 use crate::transaction::OpenTransaction;
 
-/// How long a client may take to send its startup message.
-const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
@@ -68,7 +65,7 @@
 
 struct Session {
     worker: Rc<Worker>,
-    io: Io,
+    connection: Rc<ClientConnection>,
     codec: ClientCodec,
     database: Arc<str>,
     key: ClientKey,
@@ -79,6 +76,8 @@
     /// When the last commit with an unknown position was acknowledged.
     unpositioned_commit_at: Time,
     tx: Tx,
+    /// Whether the session ends once its connection is at rest, as its key was refused.
+    is_key_refused: bool,
 }
 
 enum Wake {
@@ -88,28 +87,22 @@
 }
 
 /// Serves one client until either side ends the session.
-pub(crate) async fn serve(worker: Rc<Worker>, io: Io, entry: Rc<Entry>) {
-    serve_entry(&worker, io, &entry).await;
+pub(crate) async fn serve(worker: Rc<Worker>, entry: Rc<Entry>) {
+    serve_entry(&worker, &entry).await;
     worker.open_sessions.remove(&entry);
 }
 
-async fn serve_entry(worker: &Rc<Worker>, io: Io, entry: &Rc<Entry>) {
+async fn serve_entry(worker: &Rc<Worker>, entry: &Rc<Entry>) {
     let codec = ClientCodec::new(worker, Rc::clone(entry));
-    let opened = tokio::time::timeout(STARTUP_TIMEOUT, io.recv(&codec)).await;
-    let Ok(Ok(Some(ClientMessage::Open { database, key }))) = opened else {
-        entry.record_end(match opened {
-            Err(_) => EndReason::StartupTimeout,
-            Ok(Ok(None) | Err(ntex::util::Either::Right(_))) => EndReason::ClientLeft,
-            Ok(_) => EndReason::ProtocolViolation,
-        });
-        ending::record(worker, entry, &io, &codec);
-        return;
+    let (database, key) = match ending::receive_startup(entry, &codec).await {
+        Ok(startup) => startup,
+        Err(reason) => return ending::end(worker, entry, reason).await,
     };
     Metrics::increment(&worker.metrics.sessions_opened);
     worker.sessions.set(worker.sessions.get() + 1);
     let mut session = Session {
         worker: Rc::clone(worker),
-        io,
+        connection: Rc::clone(entry.connection()),
         codec,
         database,
         key,
@@ -121,15 +114,13 @@
         last_commit_position: None,
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
+        is_key_refused: false,
     };
     let reason = session.run().await;
-    entry.record_end(reason);
     session.rollback_detached();
-    // Flushes the last replies; the session ends whether or not this succeeds.
-    let _ = session.io.shutdown().await;
-    ending::record(worker, entry, &session.io, &session.codec);
     drop(session);
     worker.record_state_bytes();
+    ending::end(worker, entry, reason).await;
     worker.sessions.set(worker.sessions.get() - 1);
     Metrics::increment(&worker.metrics.sessions_closed);
 }
@@ -149,22 +140,22 @@
             match self.wake().await {
                 Wake::Message(ClientMessage::Query(query)) => {
                     self.codec.entry.set_phase(Phase::Busy);
-                    let continues = if self.codec.holds(&query) {
-                        self.query(&query).await
+                    if self.codec.holds(&query) {
+                        self.query(&query).await;
                     } else {
-                        self.refuse_for_memory(&query)
-                    };
+                        self.refuse_for_memory(&query);
+                    }
                     drop(query);
                     self.codec.release();
-                    if !continues {
-                        return EndReason::KeyRevoked;
-                    }
                     if !self.await_reader().await {
                         return self.unflushed_reason();
                     }
                 }
                 Wake::IdleTooLong => self.end_idle_transaction(),
-                Wake::Message(ClientMessage::Open { .. }) => return EndReason::ProtocolViolation,
+                Wake::Message(ClientMessage::Open { .. }) => {
+                    self.send(&[error(ErrorCode::Malformed, "the session is open already")]);
+                    return EndReason::ProtocolViolation;
+                }
                 Wake::Message(ClientMessage::Terminate) => return EndReason::ClientLeft,
                 Wake::End(reason) => return reason,
             }
@@ -177,7 +168,7 @@
             self.codec.protocol.encode(reply, &mut buf);
         }
         // A closed connection is detected by the next receive.
-        if self.io.encode_slice(&buf).is_err() || self.io.is_closed() {
+        if !self.connection.send(&buf) {
             self.codec.entry.record_undelivered(&self.worker, buf.len());
         }
     }
@@ -186,35 +177,28 @@
         let mut stage = self.worker.stage.clone();
         loop {
             let at = *stage.borrow_and_update();
-            let is_idle = matches!(self.tx, Tx::None);
-            let closes = at >= ShutdownStage::AbortingTransactions
-                || (at >= ShutdownStage::ClosingIdle && is_idle);
-            if closes {
-                // A request that has already arrived is served first.
-                return match self.io.recv(&self.codec).now_or_never() {
-                    Some(Ok(Some(message))) if is_idle => Wake::Message(message),
-                    _ => Wake::End(EndReason::Shutdown),
-                };
-            }
+            let end = self.end_at_rest(at);
             let idle_left = self.idle_time_left();
             tokio::select! {
                 biased;
-                received = self.io.recv(&self.codec) => return self.received(received),
+                received = self.connection.receive(&self.codec) => return self.received(received),
                 _ = stage.changed() => {}
                 () = tokio::time::sleep(idle_left.unwrap_or_default()), if idle_left.is_some() => {
                     return Wake::IdleTooLong;
                 }
+                () = std::future::ready(()), if end.is_some() => {
+                    if let Some(reason) = end && self.connection.close() {
+                        return Wake::End(reason);
+                    }
+                }
             }
         }
     }
 
-    fn received<E: std::fmt::Debug>(
-        &self,
-        received: Result<Option<ClientMessage>, ntex::util::Either<ProtocolError, E>>,
-    ) -> Wake {
+    fn received(&self, received: Result<Option<ClientMessage>, ProtocolError>) -> Wake {
         match received {
             Ok(Some(message)) => Wake::Message(message),
-            Err(ntex::util::Either::Left(err)) => {
+            Err(err) => {
                 tracing::info!(database = %self.database, error = %err,
                     "client violated the protocol");
                 self.send(&[match err {
@@ -223,7 +207,7 @@
                 }]);
                 Wake::End(EndReason::ProtocolViolation)
             }
-            Ok(None) | Err(ntex::util::Either::Right(_)) => Wake::End(EndReason::ClientLeft),
+            Ok(None) => Wake::End(EndReason::ClientLeft),
         }
     }
 
@@ -261,30 +245,33 @@
         }
     }
 
-    /// Answers one request; returns whether the session continues.
-    async fn query(&mut self, query: &Query) -> bool {
+    /// Answers one request.
+    async fn query(&mut self, query: &Query) {
         if matches!(self.tx, Tx::Failed) {
             return self.query_failed_transaction(query);
         }
-        if query.statement != Statement::Rollback
-            && let Some(continues) = self.check_identity(query)
-        {
-            return continues;
+        if query.statement != Statement::Rollback {
+            if !self.check_identity(query) {
+                return;
+            }
+            if self.is_aborting() && !matches!(self.tx, Tx::None) {
+                return self.refuse_in_shutdown(query);
+            }
         }
         match &query.statement {
             Statement::Begin { is_read_only } => self.begin(query, *is_read_only),
             Statement::Rollback => self.rollback(),
             Statement::Set { name, value } => {
                 let set = self.state.set(name, value);
-                self.answer_state_change(query, set)
+                self.answer_state_change(query, set);
             }
             Statement::Prepare { name, access, shape } => {
                 let prepared = self.state.prepare(name, *access, shape);
-                self.answer_state_change(query, prepared)
+                self.answer_state_change(query, prepared);
             }
             Statement::Deallocate { name } => {
                 self.state.deallocate(name);
-                self.answer_state_change(query, Ok(()))
+                self.answer_state_change(query, Ok(()));
             }
             Statement::Execute { name, .. } => match self.state.prepared(name).cloned() {
                 Some(shape) => self.run_statement(query, Some(&shape)).await,
@@ -292,15 +279,15 @@
             },
             Statement::Data(_) => self.run_statement(query, None).await,
             Statement::Commit if matches!(self.tx, Tx::None) => {
-                self.fail(ErrorCode::Malformed, "no transaction is open")
+                self.fail(ErrorCode::Malformed, "no transaction is open");
             }
             Statement::Commit => self.run_statement(query, None).await,
             Statement::Unknown => self.fail(ErrorCode::Malformed, "not a statement"),
         }
     }
 
-    /// Answers a change of the session's state; returns whether the session continues.
-    fn answer_state_change(&mut self, query: &Query, change: Result<(), StateLimit>) -> bool {
+    /// Answers a change of the session's state.
+    fn answer_state_change(&mut self, query: &Query, change: Result<(), StateLimit>) {
         self.worker.record_state_bytes();
         let Err(limit) = change else {
             return self.complete();
@@ -313,46 +300,44 @@
         }
         match limit {
             StateLimit::Entries => {
-                self.fail(ErrorCode::Malformed, "the session has too many values or statements")
+                self.fail(ErrorCode::Malformed, "the session has too many values or statements");
             }
             StateLimit::Session => {
-                self.fail(ErrorCode::Malformed, "the values of the session are too large")
+                self.fail(ErrorCode::Malformed, "the values of the session are too large");
             }
             StateLimit::Total => {
-                self.fail(ErrorCode::Busy, "no room for values of sessions; retry later")
+                self.fail(ErrorCode::Busy, "no room for values of sessions; retry later");
             }
         }
     }
 
-    fn complete(&self) -> bool {
+    fn complete(&self) {
         self.send(&[Reply::Complete(None), ready(self.status(), None)]);
-        true
     }
 
-    fn fail(&mut self, code: ErrorCode, text: &str) -> bool {
+    fn fail(&mut self, code: ErrorCode, text: &str) {
         if matches!(self.tx, Tx::Begun { .. } | Tx::Open { .. }) {
             self.rollback_detached();
             self.tx = Tx::Failed;
         }
         self.send(&[error(code, text), ready(self.status(), None)]);
-        true
     }
 
-    fn query_failed_transaction(&mut self, query: &Query) -> bool {
+    fn query_failed_transaction(&mut self, query: &Query) {
         match query.statement {
             Statement::Rollback => {
                 self.tx = Tx::None;
-                self.complete()
+                self.complete();
             }
             Statement::Commit => {
                 self.tx = Tx::None;
-                self.fail(ErrorCode::Aborted, "the transaction failed and is rolled back")
+                self.fail(ErrorCode::Aborted, "the transaction failed and is rolled back");
             }
             _ => self.fail(ErrorCode::Malformed, "the transaction failed and can only be ended"),
         }
     }
 
-    fn begin(&mut self, query: &Query, is_read_only: bool) -> bool {
+    fn begin(&mut self, query: &Query, is_read_only: bool) {
         if !matches!(self.tx, Tx::None) {
             return self.fail(ErrorCode::Malformed, "a transaction is open already");
         }
@@ -362,16 +347,16 @@
             return self.fail(ErrorCode::NoSuchDatabase, "the route was removed");
         };
         self.tx = Tx::Begun { is_read_only, arrival: Clock.now(), route };
-        self.complete()
+        self.complete();
     }
 
-    fn rollback(&mut self) -> bool {
+    fn rollback(&mut self) {
         if matches!(self.tx, Tx::None) {
             return self.fail(ErrorCode::Malformed, "no transaction is open");
         }
         self.rollback_detached();
         self.tx = Tx::None;
-        self.complete()
+        self.complete();
     }
 
     fn send_answer(&self, answer: Answer) {
--- a/crates/persimmon-proxy/src/session/ending.rs
+++ b/crates/persimmon-proxy/src/session/ending.rs
@@ -1,13 +1,21 @@
-//! Why sessions end, and what their clients are still owed then.
+//! Starts and ends sessions: every end of a client's connection that is not the client's own goes through
+//! this file or [`Sessions::close_if_idle`](crate::session::registry::Sessions).
+
+use std::sync::Arc;
+use std::time::Duration;
 
-use ntex::codec::Decoder;
-use ntex::io::Io;
 use persimmon_interfaces::ClientMessage;
+use persimmon_workspace::ClientKey;
 
+use crate::client_limits::Phase;
 use crate::metrics::Metrics;
 use crate::session::codec::ClientCodec;
 use crate::session::registry::Entry;
-use crate::traffic::Worker;
+use crate::session::{Session, Tx};
+use crate::traffic::{ShutdownStage, Worker};
+
+/// How long a client may take to send its startup message.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a session ends. The names of the variants appear in log lines and stay the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,18 +40,41 @@
     Shutdown,
 }
 
-/// Counts the requests that were received and not handled, and the answers that were not sent, when a
-/// connection ends, and logs them.
-pub(super) fn record(worker: &Worker, entry: &Entry, io: &Io, codec: &ClientCodec) {
-    let requests = io.with_read_buf(|buf| {
-        let mut count = 0_u64;
-        // What follows bytes that cannot be decoded is no request.
-        while let Ok(Some(message)) = codec.decode(buf) {
-            count += u64::from(matches!(message, ClientMessage::Query(_)));
-        }
-        count
-    });
-    let unsent = io.with_write_dst_buf(|buf| buf.len());
+/// Receives the startup message of a client.
+///
+/// # Errors
+///
+/// Returns why the session ends if there is none.
+pub(super) async fn receive_startup(
+    entry: &Entry,
+    codec: &ClientCodec,
+) -> Result<(Arc<str>, ClientKey), EndReason> {
+    let connection = entry.connection();
+    loop {
+        let received = tokio::time::timeout(STARTUP_TIMEOUT, connection.receive(codec)).await;
+        return match received {
+            Ok(Ok(Some(ClientMessage::Open { database, key }))) => Ok((database, key)),
+            Ok(Ok(None)) => Err(EndReason::ClientLeft),
+            Ok(Ok(Some(_)) | Err(_)) => Err(EndReason::ProtocolViolation),
+            // The rest of the message may have arrived with the end of the time.
+            Err(_) if !connection.close() => continue,
+            Err(_) => Err(EndReason::StartupTimeout),
+        };
+    }
+}
+
+/// Sends what is left of a session's answers and closes its connection.
+pub(super) async fn end(worker: &Worker, entry: &Entry, reason: EndReason) {
+    let connection = entry.connection();
+    entry.record_end(reason);
+    if connection.unsent() > 0 && !connection.is_closed() {
+        // The sweep of sessions bounds the wait.
+        entry.set_phase(Phase::Unread);
+        worker.open_sessions.record_unread(entry, connection.unsent(), &worker.log);
+        connection.flush().await;
+    }
+    connection.abort();
+    let (requests, unsent) = (connection.unhandled(), connection.unsent());
     Metrics::add(&worker.metrics.requests_cut, requests);
     if unsent > 0 {
         Metrics::increment(&worker.metrics.answers_cut);
@@ -64,3 +95,26 @@
         }
     }
 }
+
+impl Session {
+    /// Whether open transactions are rolled back, as the process stops.
+    pub(super) fn is_aborting(&self) -> bool {
+        *self.worker.stage.borrow() >= ShutdownStage::AbortingTransactions
+    }
+
+    /// Why the session ends as soon as its connection is at rest; `None` if it does not.
+    pub(super) fn end_at_rest(&self, stage: ShutdownStage) -> Option<EndReason> {
+        let is_idle = matches!(self.tx, Tx::None);
+        if stage >= ShutdownStage::AbortingTransactions
+            || (stage >= ShutdownStage::ClosingIdle && is_idle)
+        {
+            return Some(EndReason::Shutdown);
+        }
+        (self.is_key_refused && is_idle).then_some(EndReason::KeyRevoked)
+    }
+
+    /// Why a session ends whose client has not read its answers.
+    pub(super) fn unflushed_reason(&self) -> EndReason {
+        if self.is_aborting() { EndReason::Shutdown } else { EndReason::ClientLeft }
+    }
+}
--- a/crates/persimmon-proxy/src/session/flow.rs
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -1,6 +1,5 @@
 //! What a session does when there is no room for its messages, or its client does not read.
 
-use std::future::poll_fn;
 use std::rc::Rc;
 
 use ntex::util::BytesMut;
@@ -9,7 +8,6 @@
 
 use crate::client_limits::Phase;
 use crate::metrics::Metrics;
-use crate::session::ending::EndReason;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
@@ -32,9 +30,8 @@
         }
     }
 
-    /// Refuses a request because messages occupy too much memory; returns whether the session
-    /// continues.
-    pub(super) fn refuse_for_memory(&mut self, query: &Query) -> bool {
+    /// Refuses a request because messages occupy too much memory.
+    pub(super) fn refuse_for_memory(&mut self, query: &Query) {
         let metrics = &self.worker.metrics;
         Metrics::increment(&metrics.messages_refused);
         Metrics::increment(&metrics.statements_not_run);
@@ -48,14 +45,13 @@
         let is_commit = query.statement == Statement::Commit;
         self.tx = if has_transaction && !is_commit { Tx::Failed } else { Tx::None };
         self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
-        true
     }
 
-    /// Waits until the client has read enough of its answers; returns whether the session continues. A
+    /// Waits until the client's side has taken its answers; returns whether the session continues. A
     /// client that takes too long is closed by the sweep of sessions.
     pub(super) async fn await_reader(&mut self) -> bool {
-        let unread = self.io.with_write_dst_buf(|buf| buf.len());
-        if unread < self.io.cfg().write_buf().high {
+        let unread = self.connection.unsent();
+        if unread == 0 {
             return true;
         }
         let worker = Rc::clone(&self.worker);
@@ -67,15 +63,6 @@
         continues
     }
 
-    /// Why a session ends whose client has not read its answers.
-    pub(super) fn unflushed_reason(&self) -> EndReason {
-        if *self.worker.stage.borrow() >= ShutdownStage::AbortingTransactions {
-            EndReason::Shutdown
-        } else {
-            EndReason::ClientLeft
-        }
-    }
-
     async fn flush(&mut self) -> bool {
         let mut stage = self.worker.stage.clone();
         loop {
@@ -85,7 +72,7 @@
             let idle_left = self.idle_time_left();
             let flushed = tokio::select! {
                 biased;
-                flushed = poll_fn(|cx| self.io.poll_flush(cx, false)) => Some(flushed.is_ok()),
+                is_open = self.connection.flush() => Some(is_open),
                 _ = stage.changed() => None,
                 () = tokio::time::sleep(idle_left.unwrap_or_default()), if idle_left.is_some() => {
                     None
--- a/crates/persimmon-proxy/src/session/identity.rs
+++ b/crates/persimmon-proxy/src/session/identity.rs
@@ -161,11 +161,11 @@
     }
 
     /// Refuses a statement whose key does not identify the session's workspace any more; returns whether
-    /// the session continues, or `None` if the statement may run.
-    pub(super) fn check_identity(&mut self, query: &Query) -> Option<bool> {
+    /// the statement may run.
+    pub(super) fn check_identity(&mut self, query: &Query) -> bool {
         match self.identify() {
             // Without a route, the statement is refused where it needs one.
-            Ok(()) | Err(IdentityProblem::NoTable | IdentityProblem::NoRoute) => None,
+            Ok(()) | Err(IdentityProblem::NoTable | IdentityProblem::NoRoute) => true,
             Err(problem) => {
                 if self.worker.log.should_log(true) {
                     tracing::info!(id = %query.id, database = %self.database,
@@ -173,21 +173,23 @@
                         has_transaction = !matches!(self.tx, Tx::None),
                         "not run: the session's key does not identify its workspace");
                 }
-                Some(self.refuse_key(query))
+                self.refuse_key(query);
+                false
             }
         }
     }
 
-    /// Answers a statement that was not run because its key identifies no workspace; returns whether the
-    /// session continues. An open transaction is rolled back; otherwise the session ends.
-    pub(super) fn refuse_key(&mut self, query: &Query) -> bool {
+    /// Answers a statement that was not run because its key identifies no workspace. An open transaction
+    /// is rolled back; otherwise the session ends at rest.
+    pub(super) fn refuse_key(&mut self, query: &Query) {
         Metrics::increment(&self.worker.metrics.unknown_keys);
         if matches!(self.tx, Tx::None) {
             self.send(&[
                 error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT),
                 ready(TxStatus::Idle, None),
             ]);
-            return false;
+            self.is_key_refused = true;
+            return;
         }
         let is_commit = query.statement == Statement::Commit;
         self.rollback_detached();
@@ -199,6 +201,5 @@
             ),
             ready(self.status(), None),
         ]);
-        true
     }
 }
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use ntex::io::{Io, IoRef};
 use persimmon_types::{Clock, Time};
 
+use crate::client_connection::ClientConnection;
 use crate::client_limits::{ClientLimits, Phase, SessionView, session_to_close, unread_to_close};
 use crate::logging::LogBudget;
 use crate::metrics::Metrics;
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     id: u64,
-    io: IoRef,
+    connection: Rc<ClientConnection>,
     phase: Cell<Phase>,
     since: Cell<Time>,
     unread: Cell<usize>,
@@ -33,6 +33,11 @@
         }
     }
 
+    /// The client's connection.
+    pub(crate) fn connection(&self) -> &Rc<ClientConnection> {
+        &self.connection
+    }
+
     /// What the session waits for.
     pub(crate) fn phase(&self) -> Phase {
         self.phase.get()
@@ -81,29 +86,31 @@
     /// Closes a session so that there is room for one more; returns whether one could be closed.
     pub(crate) fn make_room(&self, log: &LogBudget) -> bool {
         let now = Clock.now();
-        let views = self.views();
-        let Some(victim) = session_to_close(views.into_iter(), now) else {
-            Metrics::increment(&self.metrics.sessions_refused);
-            if log.should_log(true) {
-                tracing::warn!(
-                    max_sessions = self.limits.max_sessions,
-                    "session refused: too many sessions are open"
-                );
+        let mut views = self.views();
+        while let Some(victim) = session_to_close(views.iter().copied(), now) {
+            if self.close_if_idle(victim, EndReason::NoRoom, log) {
+                Metrics::increment(&self.metrics.sessions_closed_for_room);
+                return true;
             }
-            return false;
-        };
-        Metrics::increment(&self.metrics.sessions_closed_for_room);
-        self.close(victim, EndReason::NoRoom, log, "session closed: its place is needed");
-        true
+            views.retain(|view| view.id != victim.id);
+        }
+        Metrics::increment(&self.metrics.sessions_refused);
+        if log.should_log(true) {
+            tracing::warn!(
+                max_sessions = self.limits.max_sessions,
+                "session refused: too many sessions are open"
+            );
+        }
+        false
     }
 
     /// Adds a session.
-    pub(crate) fn add(&self, io: &Io) -> Rc<Entry> {
+    pub(crate) fn add(&self, connection: ClientConnection) -> Rc<Entry> {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let entry = Rc::new(Entry {
             id,
-            io: io.get_ref(),
+            connection: Rc::new(connection),
             phase: Cell::new(Phase::Starting),
             since: Cell::new(Clock.now()),
             unread: Cell::new(0),
@@ -129,8 +136,7 @@
             unread_to_close(self.views().into_iter(), entry.id, self.limits.unread_bytes)
         {
             Metrics::increment(&self.metrics.sessions_closed_unread);
-            let reason = "session closed: unread answers exceed their limit";
-            self.close(victim, EndReason::Unread, log, reason);
+            self.close_if_idle(victim, EndReason::Unread, log);
         }
     }
 
@@ -140,14 +146,14 @@
             if !session.is_overdue(now) {
                 continue;
             }
-            let is_unread = session.phase == Phase::Unread;
-            Metrics::increment(if is_unread {
-                &self.metrics.sessions_closed_unread
+            let (reason, counter) = if session.phase == Phase::Unread {
+                (EndReason::Unread, &self.metrics.sessions_closed_unread)
             } else {
-                &self.metrics.sessions_closed_half_message
-            });
-            let end = if is_unread { EndReason::Unread } else { EndReason::HalfMessage };
-            self.close(session, end, log, "session closed: its client took too long");
+                (EndReason::HalfMessage, &self.metrics.sessions_closed_half_message)
+            };
+            if self.close_if_idle(session, reason, log) {
+                Metrics::increment(counter);
+            }
         }
     }
 
@@ -155,16 +161,31 @@
         self.entries.borrow().values().map(|entry| entry.view()).collect()
     }
 
-    fn close(&self, session: SessionView, end: EndReason, log: &LogBudget, reason: &str) {
+    /// Closes the connection of a session that waits for its client, unless a message has arrived that
+    /// the session has not noticed yet; returns whether it is closed.
+    pub(crate) fn close_if_idle(
+        &self,
+        session: SessionView,
+        reason: EndReason,
+        log: &LogBudget,
+    ) -> bool {
+        let Some(entry) = self.entries.borrow().get(&session.id).map(Rc::clone) else {
+            return true;
+        };
+        if session.phase == Phase::Unread {
+            // Its client would not read the answers to further messages.
+            entry.connection.abort();
+        } else if !entry.connection.close() {
+            entry.set_phase(Phase::Busy);
+            return false;
+        }
+        entry.record_end(reason);
+        self.remove(&entry);
         if log.should_log(true) {
-            tracing::info!(phase = ?session.phase, unread = session.unread,
+            tracing::info!(?reason, phase = ?session.phase, unread = session.unread,
                 ms = u64::try_from(Clock.now().since(session.since).as_millis()).unwrap_or(u64::MAX),
-                "{reason}");
-        }
-        let entry = self.entries.borrow_mut().remove(&session.id);
-        if let Some(entry) = entry {
-            entry.record_end(end);
-            entry.io.terminate();
+                "session closed");
         }
+        true
     }
 }
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -18,7 +18,7 @@
 use crate::transaction::OpenTransaction;
 
 impl Session {
-    pub(super) async fn run_statement(&mut self, query: &Query, shape: Option<&Shape>) -> bool {
+    pub(super) async fn run_statement(&mut self, query: &Query, shape: Option<&Shape>) {
         let arrival = Clock.now();
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
@@ -43,7 +43,7 @@
             }
         };
         if !worker.may_start(route.statement_timeout) {
-            return self.refuse_in_shutdown(query, &route);
+            return self.refuse_in_shutdown(query);
         }
         let permit = match worker.admit_operation(self.caller.as_ref(), &route).await {
             Ok(permit) => permit,
@@ -79,7 +79,7 @@
                 }
                 self.send_answer(answer);
             }
-            Err(ErrorCode::UnknownKey) => return self.refuse_key(query),
+            Err(ErrorCode::UnknownKey) => self.refuse_key(query),
             Err(code) => {
                 if has_begun {
                     self.tx = if is_commit { Tx::None } else { Tx::Failed };
@@ -87,13 +87,12 @@
                 self.send(&[refusal(code, retry_after), ready(self.status(), None)]);
             }
         }
-        true
     }
 
     /// Refuses a statement that might not end before this process does, and rolls its transaction
-    /// back; returns whether the session continues.
-    fn refuse_in_shutdown(&mut self, query: &Query, route: &Route) -> bool {
-        tracing::info!(id = %query.id, database = %route.database, timeout = ?route.statement_timeout,
+    /// back.
+    pub(super) fn refuse_in_shutdown(&mut self, query: &Query) {
+        tracing::info!(id = %query.id, database = %self.database,
             "not run: the statement might not end before the shutdown");
         Metrics::increment(&self.worker.metrics.statements_not_run);
         let is_commit = query.statement == Statement::Commit;
@@ -102,12 +101,10 @@
         self.rollback_detached();
         self.tx = if has_transaction && !is_commit { Tx::Failed } else { Tx::None };
         self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
-        true
     }
 
-    /// Refuses the first statement of an operation whose workspace is over its quota; returns whether
-    /// the session continues.
-    fn refuse_over_quota(&mut self, query: &Query, route: &Route, over: OverQuota) -> bool {
+    /// Refuses the first statement of an operation whose workspace is over its quota.
+    fn refuse_over_quota(&mut self, query: &Query, route: &Route, over: OverQuota) {
         let workspace = self.caller.as_ref().map_or("", |c| &c.workspace);
         if self.worker.log.should_log(true) {
             tracing::info!(id = %query.id, database = %route.database, workspace,
@@ -123,7 +120,6 @@
             _ => Tx::None,
         };
         self.send(&[refusal(code, over.retry_after), ready(self.status(), None)]);
-        true
     }
 
     /// The transaction state after its first statement was answered.
@@ -177,22 +173,16 @@
     }
 
     /// Runs a statement on the connection of the open transaction.
-    async fn continue_transaction(
-        &mut self,
-        query: &Query,
-        shape: Option<&Shape>,
-        arrival: Time,
-    ) -> bool {
+    async fn continue_transaction(&mut self, query: &Query, shape: Option<&Shape>, arrival: Time) {
         if let Tx::Open { route, .. } = &self.tx
             && !self.worker.may_start(route.statement_timeout)
         {
-            let route = Arc::clone(route);
-            return self.refuse_in_shutdown(query, &route);
+            return self.refuse_in_shutdown(query);
         }
         let Tx::Open { mut transaction, route, has_written, began, .. } =
             std::mem::replace(&mut self.tx, Tx::Failed)
         else {
-            return true;
+            return;
         };
         let access = access(&query.statement, shape);
         let is_commit = query.statement == Statement::Commit;
@@ -244,7 +234,6 @@
                 self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
             }
         }
-        true
     }
 
     /// Counts and logs the outcome of a statement.
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use crate::client_connection::ClientConnection;
 use crate::connection::ConnectionUser;
 use crate::dispatcher::Dispatcher;
 use crate::drain::ShutdownSchedule;
@@ -248,20 +249,20 @@
             };
             if accepting.open_sessions.is_full() {
                 let has_room = accepting.open_sessions.make_room(&accepting.log);
-                // A closed session gives its descriptor back on its next turn.
+                // The task of a closed session ends on its next turn.
                 tokio::task::yield_now().await;
                 if !has_room {
                     session::refuse(&accepting, &stream);
                     continue;
                 }
             }
-            match socket::configure(stream, false) {
-                Ok(io) => {
-                    let entry = accepting.open_sessions.add(&io);
-                    ntex::rt::spawn(session::serve(Rc::clone(&accepting), io, entry));
-                }
-                Err(err) => tracing::debug!(error = %err, "client connection setup failed"),
+            if let Err(err) = socket::set_options(&stream, false) {
+                tracing::debug!(error = %err, "client connection setup failed");
+                continue;
             }
+            let protocol = Arc::clone(&accepting.client_protocol);
+            let entry = accepting.open_sessions.add(ClientConnection::new(stream, protocol));
+            ntex::rt::spawn(session::serve(Rc::clone(&accepting), entry));
         }
     });
     let sampling = Rc::clone(worker);
--- a/crates/persimmond/tests/session_ends.rs
+++ b/crates/persimmond/tests/session_ends.rs
@@ -123,7 +123,8 @@
 #[test]
 fn startup_completed_as_its_time_runs_out_is_answered() {
     let setup = setup("ends-startup", 1);
-    let mut client = LineClient::connect(setup.daemons[0].addresses.clients, "c").expect("it opens");
+    let mut client =
+        LineClient::connect(setup.daemons[0].addresses.clients, "c").expect("it opens");
     client.send_raw(b"STARTUP p0 ").expect("half of the startup message is sent");
     std::thread::sleep(STARTUP_TIMEOUT - STILL / 2);
 
