End sessions only some round trips after their last answer

What callers saw: a reset connection under a request that was sent at once on an answer, where the key had been removed or the daemon was stopping. Cause: the session was ended directly after an answer that says that the next request may come. Change: such a session ends 250 ms after its last answer; what comes meanwhile is answered, which begins the time anew.

--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -4,7 +4,8 @@
 //!
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
-//! - A session ends only once its connection is at rest: every request that has arrived is answered.
+//! - A session ends only once its connection is at rest: every request that has arrived is answered, and
+//!   a client that was just answered has had the time to send its next one.
 
 mod codec;
 mod ending;
@@ -39,6 +40,10 @@
 use crate::traffic::Worker;
 use crate::transaction::OpenTransaction;
 
+/// Time after an answer within which a client's next request is awaited before its session is ended:
+/// some round trips of a client in another failure domain.
+const REST_TIME: Duration = Duration::from_millis(250);
+
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
@@ -76,6 +81,8 @@
     /// When the last commit with an unknown position was acknowledged.
     unpositioned_commit_at: Time,
     tx: Tx,
+    /// When the last answer was sent.
+    answered_at: Time,
     /// Whether the session ends once its connection is at rest, as its key was refused.
     is_key_refused: bool,
 }
@@ -114,6 +121,7 @@
         last_commit_position: None,
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
+        answered_at: Time::ZERO,
         is_key_refused: false,
     };
     let reason = session.run().await;
@@ -130,6 +138,7 @@
         if !self.start().await {
             return EndReason::StartRefused;
         }
+        self.answered_at = Clock.now();
         let mut handled = 0_u32;
         loop {
             handled = handled.wrapping_add(1);
@@ -150,6 +159,7 @@
                     if !self.await_reader().await {
                         return self.unflushed_reason();
                     }
+                    self.answered_at = Clock.now();
                 }
                 Wake::IdleTooLong => self.end_idle_transaction(),
                 Wake::Message(ClientMessage::Open { .. }) => {
@@ -179,6 +189,7 @@
             let at = *stage.borrow_and_update();
             let end = self.end_at_rest(at);
             let idle_left = self.idle_time_left();
+            let rest_left = (self.answered_at + REST_TIME).since(Clock.now());
             tokio::select! {
                 biased;
                 received = self.connection.receive(&self.codec) => return self.received(received),
@@ -186,7 +197,7 @@
                 () = tokio::time::sleep(idle_left.unwrap_or_default()), if idle_left.is_some() => {
                     return Wake::IdleTooLong;
                 }
-                () = std::future::ready(()), if end.is_some() => {
+                () = tokio::time::sleep(rest_left), if end.is_some() => {
                     if let Some(reason) = end && self.connection.close() {
                         return Wake::End(reason);
                     }
