--- a/crates/persimmon-interfaces/src/protocol.rs
+++ b/crates/persimmon-interfaces/src/protocol.rs
@@ -223,11 +223,9 @@
     /// Returns an error if the bytes violate the protocol.
     fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError>;
 
-    /// Whether `src`, whose first `seen` bytes are an incomplete message, may hold a complete one or
-    /// violate the protocol. It spares decoding a long message again for each of its pieces.
-    fn may_be_complete(&self, _src: &[u8], _seen: usize) -> bool {
-        true
-    }
+    /// Whether [`Self::decode`] would return a message or an error for `src`, whose first `seen` bytes are
+    /// an incomplete message. It spares decoding a long message again for each of its pieces.
+    fn is_complete(&self, src: &[u8], seen: usize) -> bool;
 
     /// Appends the encoded message to `dst`.
     fn encode(&self, reply: &Reply, dst: &mut BytesMut);
--- a/crates/persimmon-lab/src/line_cluster/client.rs
+++ b/crates/persimmon-lab/src/line_cluster/client.rs
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Receives the code with which a startup message is refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks or the session opens.
+    pub fn receive_refusal(&mut self) -> io::Result<String> {
+        let line = self.read_line()?;
+        let code = line.strip_prefix("ERROR ").and_then(|rest| rest.split(' ').next());
+        code.map(str::to_owned).ok_or_else(|| io::Error::other(line.clone()))
+    }
+
     /// Sends a request and receives its response.
     ///
     /// # Errors
--- a/crates/persimmon-proxy/src/client_connection.rs
+++ b/crates/persimmon-proxy/src/client_connection.rs
@@ -2,10 +2,10 @@
 //!
 //! Invariants:
 //!
-//! - [`ClientConnection::close`] does not close a connection on which a whole message has arrived, so
+//! - [`ClientConnection::try_close`] does not close a connection on which a whole message has arrived, so
 //!   that whoever ends a session has to have that message answered first.
-//! - Only [`ClientConnection::abort`], for a client that does not read its answers, closes regardless.
 //! - The end of the client's messages does not end the answers to those before it.
+//! - Bytes are read only while a message is awaited, or to find out whether one has arrived.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -26,6 +26,9 @@
 /// closed: one message.
 const MAX_SEARCH: usize = 1 << 20;
 
+/// Size of a message from which on its buffer is not kept, in bytes.
+const LARGE_MESSAGE: usize = 2 << 10;
+
 /// The connection of one client.
 #[derive(Debug)]
 pub(crate) struct ClientConnection {
@@ -36,6 +39,10 @@
     output: RefCell<BytesMut>,
     /// Whether the client has ended its messages.
     is_input_over: Cell<bool>,
+    /// Why the connection broke.
+    failure: Cell<Option<io::ErrorKind>>,
+    /// Answers that came after the end of the connection.
+    late_answers: Cell<u64>,
     /// The task that waits for the client.
     waiter: RefCell<Option<Waker>>,
 }
@@ -49,6 +56,8 @@
             input: RefCell::default(),
             output: RefCell::default(),
             is_input_over: Cell::new(false),
+            failure: Cell::new(None),
+            late_answers: Cell::new(0),
             waiter: RefCell::default(),
         }
     }
@@ -58,6 +67,16 @@
         self.stream.borrow().is_none()
     }
 
+    /// Why the connection broke, if it did.
+    pub(crate) fn failure(&self) -> Option<io::ErrorKind> {
+        self.failure.get()
+    }
+
+    /// Whether a part of a message has arrived.
+    pub(crate) fn has_partial_message(&self) -> bool {
+        !self.input.borrow().is_empty()
+    }
+
     /// Bytes of answers that the client's side has not taken yet.
     pub(crate) fn unsent(&self) -> usize {
         self.output.borrow().len()
@@ -86,11 +105,8 @@
         D: Decoder<Item = ClientMessage, Error = ProtocolError>,
     {
         loop {
-            let decoded = codec.decode(&mut self.input.borrow_mut());
-            match decoded {
-                Ok(Some(message)) => return Poll::Ready(Ok(Some(message))),
-                Err(err) => return Poll::Ready(Err(err)),
-                Ok(None) => {}
+            if let Some(message) = self.decode(codec)? {
+                return Poll::Ready(Ok(Some(message)));
             }
             if self.is_input_over.get() || self.is_closed() {
                 return Poll::Ready(Ok(None));
@@ -109,12 +125,34 @@
         }
     }
 
-    /// Sends bytes, as far as the client's side takes them now; the rest is sent while the session waits
-    /// for the client. Returns whether the connection is still open.
-    pub(crate) fn send(&self, bytes: &[u8]) -> bool {
+    fn decode<D>(&self, codec: &D) -> Result<Option<ClientMessage>, ProtocolError>
+    where
+        D: Decoder<Item = ClientMessage, Error = ProtocolError>,
+    {
+        let mut input = self.input.borrow_mut();
+        let before = input.len();
+        let message = codec.decode(&mut input)?;
+        if before - input.len() >= LARGE_MESSAGE {
+            *input = BytesMut::copy_from_slice(&input[..]);
+        }
+        Ok(message)
+    }
+
+    /// Sends bytes, as far as the client's side takes them now; the rest is sent by [`Self::receive`] and
+    /// [`Self::flush`].
+    pub(crate) fn send(&self, bytes: &[u8]) {
+        if self.is_closed() {
+            self.late_answers.set(self.late_answers.get() + 1);
+            return;
+        }
         self.output.borrow_mut().extend_from_slice(bytes);
         self.write();
-        !self.is_closed()
+    }
+
+    /// Sends answers for as long as the future is polled; it never ends.
+    pub(crate) async fn keep_sending(&self) {
+        self.flush().await;
+        std::future::pending::<()>().await;
     }
 
     /// Waits until every answer is sent; returns whether the connection is still open.
@@ -142,7 +180,7 @@
         }
     }
 
-    /// Whether a whole message has arrived, or bytes that are no message.
+    /// Whether a whole message has arrived, or bytes that are no message; reads what the socket has.
     fn has_message(&self) -> bool {
         while !self.holds_message() {
             let before = self.input.borrow().len();
@@ -160,11 +198,11 @@
 
     fn holds_message(&self) -> bool {
         let input = self.input.borrow();
-        !input.is_empty() && self.protocol.may_be_complete(&input, 0)
+        !input.is_empty() && self.protocol.is_complete(&input, 0)
     }
 
     /// Closes the connection, unless a whole message has arrived; returns whether it is closed.
-    pub(crate) fn close(&self) -> bool {
+    pub(crate) fn try_close(&self) -> bool {
         let has_message = !self.is_closed() && self.has_message();
         if has_message {
             self.wake();
@@ -187,8 +225,13 @@
         }
     }
 
-    /// The requests that were received and not handled.
-    pub(crate) fn unhandled(&self) -> u64 {
+    /// The number of answers that were not sent as a whole.
+    pub(crate) fn unsent_answers(&self) -> u64 {
+        self.late_answers.get() + u64::from(self.unsent() > 0)
+    }
+
+    /// The number of requests that were received and not handled, which are dropped.
+    pub(crate) fn drop_requests(&self) -> u64 {
         let mut input = self.input.borrow_mut();
         let mut count = 0;
         // What follows bytes that cannot be decoded is no request.
@@ -217,10 +260,15 @@
             Ok(0) => self.is_input_over.set(true),
             Ok(count) => self.input.borrow_mut().extend_from_slice(&buf[..count]),
             Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => drop(self.stream.take()),
+            Err(err) => self.fail(&err),
         }
     }
 
+    fn fail(&self, err: &io::Error) {
+        self.failure.set(Some(err.kind()));
+        drop(self.stream.take());
+    }
+
     /// Writes what the socket takes.
     fn write(&self) {
         let mut output = self.output.borrow_mut();
@@ -232,8 +280,8 @@
             match written {
                 Ok(count) => drop(output.split_to(count)),
                 Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => {
-                    drop(self.stream.take());
+                Err(err) => {
+                    self.fail(&err);
                     return;
                 }
             }
--- a/crates/persimmon-proxy/src/client_limits.rs
+++ b/crates/persimmon-proxy/src/client_limits.rs
@@ -65,7 +65,7 @@
 const IDLE_GRACE: Duration = Duration::from_secs(10);
 
 /// Unread answers up to this size are not worth closing a session for, in bytes.
-const SMALL_ANSWER: usize = 16 << 10;
+pub(crate) const SMALL_ANSWER: usize = 16 << 10;
 
 /// What clients may occupy on a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/persimmon-proxy/src/metrics.rs
+++ b/crates/persimmon-proxy/src/metrics.rs
@@ -91,6 +91,8 @@
     requests_cut,
     /// Answers that were not sent, or not as a whole, when their connection ended.
     answers_cut,
+    /// Answers that were not sent, or not as a whole, because the client had left.
+    answers_abandoned,
     /// Messages refused because those of all sessions occupy too much memory.
     messages_refused,
     /// Forwarded statements refused because those of all daemons occupy too much memory.
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -4,8 +4,10 @@
 //!
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
-//! - A session ends only once its connection is at rest: every request that has arrived is answered, and
-//!   a client that was just answered has had the time to send its next one.
+//! - A session that the daemon ends, and whose client keeps to the protocol, ends only once its
+//!   connection is at rest: every request that has arrived is answered, and a client that sends each
+//!   request at once on an answer has had the time to do so.
+//! - A session whose key was removed stays open, and its statements are refused.
 
 mod codec;
 mod ending;
@@ -36,14 +38,10 @@
 pub(crate) use crate::session::flow::refuse;
 use crate::session::registry::Entry;
 use crate::session::state::{SessionState, StateLimit};
-use crate::statement_job::{Caller, RETRY_AFTER};
+use crate::statement_job::Caller;
 use crate::traffic::Worker;
 use crate::transaction::OpenTransaction;
 
-/// Time after an answer within which a client's next request is awaited before its session is ended:
-/// some round trips of a client in another failure domain.
-const REST_TIME: Duration = Duration::from_millis(250);
-
 /// Messages that a session handles without waiting before others get a turn.
 const MESSAGES_PER_TURN: u32 = 32;
 
@@ -83,8 +81,8 @@
     tx: Tx,
     /// When the last answer was sent.
     answered_at: Time,
-    /// Whether the session ends once its connection is at rest, as its key was refused.
-    is_key_refused: bool,
+    /// Whether the last request followed at once on the answer before it.
+    follows_at_once: bool,
 }
 
 enum Wake {
@@ -107,6 +105,7 @@
     };
     Metrics::increment(&worker.metrics.sessions_opened);
     worker.sessions.set(worker.sessions.get() + 1);
+    entry.set_phase(Phase::Busy);
     let mut session = Session {
         worker: Rc::clone(worker),
         connection: Rc::clone(entry.connection()),
@@ -122,7 +121,7 @@
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
         answered_at: Time::ZERO,
-        is_key_refused: false,
+        follows_at_once: true,
     };
     let reason = session.run().await;
     session.rollback_detached();
@@ -148,9 +147,15 @@
             self.codec.entry.set_phase(self.waiting_phase(handled));
             match self.wake().await {
                 Wake::Message(ClientMessage::Query(query)) => {
+                    self.follows_at_once = self.is_resting();
                     self.codec.entry.set_phase(Phase::Busy);
                     if self.codec.holds(&query) {
-                        self.query(&query).await;
+                        let connection = Rc::clone(&self.connection);
+                        tokio::select! {
+                            biased;
+                            () = self.query(&query) => {}
+                            () = connection.keep_sending(), if connection.unsent() > 0 => {}
+                        }
                     } else {
                         self.refuse_for_memory(&query);
                     }
@@ -177,19 +182,15 @@
         for reply in replies {
             self.codec.protocol.encode(reply, &mut buf);
         }
-        // A closed connection is detected by the next receive.
-        if !self.connection.send(&buf) {
-            self.codec.entry.record_undelivered(&self.worker, buf.len());
-        }
+        self.connection.send(&buf);
     }
 
     async fn wake(&mut self) -> Wake {
         let mut stage = self.worker.stage.clone();
         loop {
             let at = *stage.borrow_and_update();
-            let end = self.end_at_rest(at);
+            let end_left = self.time_to_end(at);
             let idle_left = self.idle_time_left();
-            let rest_left = (self.answered_at + REST_TIME).since(Clock.now());
             tokio::select! {
                 biased;
                 received = self.connection.receive(&self.codec) => return self.received(received),
@@ -197,9 +198,9 @@
                 () = tokio::time::sleep(idle_left.unwrap_or_default()), if idle_left.is_some() => {
                     return Wake::IdleTooLong;
                 }
-                () = tokio::time::sleep(rest_left), if end.is_some() => {
-                    if let Some(reason) = end && self.connection.close() {
-                        return Wake::End(reason);
+                () = tokio::time::sleep(end_left.unwrap_or_default()), if end_left.is_some() => {
+                    if self.try_end() {
+                        return Wake::End(EndReason::Shutdown);
                     }
                 }
             }
@@ -212,10 +213,7 @@
             Err(err) => {
                 tracing::info!(database = %self.database, error = %err,
                     "client violated the protocol");
-                self.send(&[match err {
-                    ProtocolError::NoRoom => refusal(ErrorCode::Busy, RETRY_AFTER),
-                    _ => error(ErrorCode::Malformed, &err.to_string()),
-                }]);
+                self.send(&[ending::violation(&err)]);
                 Wake::End(EndReason::ProtocolViolation)
             }
             Ok(None) => Wake::End(EndReason::ClientLeft),
--- a/crates/persimmon-proxy/src/session/codec.rs
+++ b/crates/persimmon-proxy/src/session/codec.rs
@@ -13,9 +13,6 @@
 use crate::session::registry::Entry;
 use crate::traffic::Worker;
 
-/// Unused capacity from which on a read buffer is replaced by a smaller one, in bytes.
-const MAX_UNUSED_CAPACITY: usize = 64 << 10;
-
 /// Decodes the messages of one client.
 #[derive(Debug)]
 pub(super) struct ClientCodec {
@@ -59,14 +56,10 @@
 
     fn decode(&self, src: &mut BytesMut) -> Result<Option<ClientMessage>, ProtocolError> {
         let seen = self.seen.replace(src.len());
-        let may_decode = seen == 0 || self.protocol.may_be_complete(src, seen);
+        let may_decode = seen == 0 || self.protocol.is_complete(src, seen);
         let decoded = if may_decode { self.protocol.decode(src)? } else { None };
         if decoded.is_some() {
             self.seen.set(0);
-            // The rest would keep the buffer of a large message.
-            if src.capacity() > src.len() + MAX_UNUSED_CAPACITY {
-                *src = BytesMut::copy_from_slice(&src[..]);
-            }
             return Ok(decoded);
         }
         // A session with an open transaction stays busy; its idle limit bounds the wait.
--- a/crates/persimmon-proxy/src/session/flow.rs
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -1,21 +1,28 @@
 //! What a session does when there is no room for its messages, or its client does not read.
 
+use std::io::Read;
 use std::rc::Rc;
 
 use ntex::util::BytesMut;
 use persimmon_interfaces::{ErrorCode, Query, Statement};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
-use crate::client_limits::Phase;
+use crate::client_limits::{Phase, SMALL_ANSWER};
 use crate::metrics::Metrics;
 use crate::session::{Session, Tx, ready, refusal};
 use crate::statement_job::RETRY_AFTER;
 use crate::traffic::{ShutdownStage, Worker};
 
+/// Most bytes that are read of a client's first message before it is refused.
+const MAX_STARTUP: usize = 1 << 10;
+
 /// Refuses a client for which there is no room.
 pub(crate) fn refuse(worker: &Worker, stream: &TcpStream) {
     let mut buf = BytesMut::with_capacity(64);
     worker.client_protocol.encode(&refusal(ErrorCode::Busy, RETRY_AFTER), &mut buf);
+    // Closing a connection with unread bytes resets it, which may discard the reply.
+    let _ = (&*SockRef::from(stream)).read(&mut [0; MAX_STARTUP]);
     // The connection is closed whether or not the client learns why.
     let _ = stream.try_write(&buf);
 }
@@ -47,11 +54,11 @@
         self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
     }
 
-    /// Waits until the client's side has taken its answers; returns whether the session continues. A
+    /// Waits until the client's side has taken its answers, if they are large; returns whether the session continues. A
     /// client that takes too long is closed by the sweep of sessions.
     pub(super) async fn await_reader(&mut self) -> bool {
         let unread = self.connection.unsent();
-        if unread == 0 {
+        if unread < SMALL_ANSWER {
             return true;
         }
         let worker = Rc::clone(&self.worker);
--- a/crates/persimmon-proxy/src/session/identity.rs
+++ b/crates/persimmon-proxy/src/session/identity.rs
@@ -180,7 +180,7 @@
     }
 
     /// Answers a statement that was not run because its key identifies no workspace. An open transaction
-    /// is rolled back; otherwise the session ends at rest.
+    /// is rolled back. The session stays open: its end would cut a request that is on its way.
     pub(super) fn refuse_key(&mut self, query: &Query) {
         Metrics::increment(&self.worker.metrics.unknown_keys);
         if matches!(self.tx, Tx::None) {
@@ -188,7 +188,6 @@
                 error(ErrorCode::UnknownKey, UNKNOWN_KEY_TEXT),
                 ready(TxStatus::Idle, None),
             ]);
-            self.is_key_refused = true;
             return;
         }
         let is_commit = query.statement == Statement::Commit;
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -13,6 +13,9 @@
 use crate::metrics::Metrics;
 use crate::session::ending::EndReason;
 
+/// Sessions that are tried for room before a client is refused.
+const MAX_CLOSE_TRIES: usize = 16;
+
 /// One session.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -87,8 +90,11 @@
     pub(crate) fn make_room(&self, log: &LogBudget) -> bool {
         let now = Clock.now();
         let mut views = self.views();
-        while let Some(victim) = session_to_close(views.iter().copied(), now) {
-            if self.close_if_idle(victim, EndReason::NoRoom, log) {
+        for _ in 0..MAX_CLOSE_TRIES {
+            let Some(victim) = session_to_close(views.iter().copied(), now) else {
+                break;
+            };
+            if self.try_close(victim, EndReason::NoRoom, log) {
                 Metrics::increment(&self.metrics.sessions_closed_for_room);
                 return true;
             }
@@ -136,7 +142,11 @@
             unread_to_close(self.views().into_iter(), entry.id, self.limits.unread_bytes)
         {
             Metrics::increment(&self.metrics.sessions_closed_unread);
-            self.close_if_idle(victim, EndReason::Unread, log);
+            // A session with unread answers is closed whatever its client has sent.
+            debug_assert_eq!(victim.phase, Phase::Unread);
+            if !self.try_close(victim, EndReason::Unread, log) {
+                break;
+            }
         }
     }
 
@@ -151,7 +161,7 @@
             } else {
                 (EndReason::HalfMessage, &self.metrics.sessions_closed_half_message)
             };
-            if self.close_if_idle(session, reason, log) {
+            if self.try_close(session, reason, log) {
                 Metrics::increment(counter);
             }
         }
@@ -163,7 +173,7 @@
 
     /// Closes the connection of a session that waits for its client, unless a message has arrived that
     /// the session has not noticed yet; returns whether it is closed.
-    pub(crate) fn close_if_idle(
+    pub(crate) fn try_close(
         &self,
         session: SessionView,
         reason: EndReason,
@@ -175,7 +185,7 @@
         if session.phase == Phase::Unread {
             // Its client would not read the answers to further messages.
             entry.connection.abort();
-        } else if !entry.connection.close() {
+        } else if !entry.connection.try_close() {
             entry.set_phase(Phase::Busy);
             return false;
         }
