Give clients the time they have for reading answers before the kernel gives up

What callers saw: a reset connection in place of answers, where a client did not read for 1.5 s while its window was full, although a client has 15 s for reading. Cause: clients' sockets had the TCP_USER_TIMEOUT of connections to instances and daemons. The kernel applies it to data that a zero window holds back as well, and drops what is not delivered. Evidence: client_that_reads_late_receives_every_answer of session_ends failed on the commit before, "0 after 4s: Connection reset by peer". Change: the limit of clients' sockets is ANSWER_TIMEOUT; connections to instances and daemons keep theirs. Result: all eight tests of session_ends pass, with pauses of 4 s and 12 s; a client that never reads is still closed, at the latest 3 s after the limit.

--- a/crates/persimmon-proxy/src/forwarding/frame.rs
+++ b/crates/persimmon-proxy/src/forwarding/frame.rs
@@ -200,7 +200,7 @@
     In: for<'de> Deserialize<'de>,
     Out: Serialize,
 {
-    socket::set_options(&stream, true)?;
+    socket::set_options(&stream)?;
     let inner = LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec();
     let incoming = Rc::new(Incoming::default());
     let codec = FrameCodec { inner, incoming: Rc::clone(&incoming), has_sent_large: false };
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -256,7 +256,7 @@
                     continue;
                 }
             }
-            if let Err(err) = socket::set_options(&stream, false) {
+            if let Err(err) = socket::set_client_options(&stream) {
                 tracing::debug!(error = %err, "client connection setup failed");
                 continue;
             }
--- a/crates/persimmond/tests/session_ends.rs
+++ b/crates/persimmond/tests/session_ends.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use persimmon_lab::http;
 use persimmon_lab::line_cluster::{Daemon, InstanceProfile, LineClient, LineCluster};
 use rustix::process::Signal;
 
@@ -39,6 +40,12 @@
 /// Within which time a daemon that is asked to stop ends.
 const STOP_LIMIT: Duration = Duration::from_secs(6);
 
+/// Size of an answer that fits neither the client's nor the daemon's socket buffer, in bytes.
+const LARGE: usize = 1_000_000;
+
+/// How long a client may take to read what it was sent.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
 const KEYS: &[(&str, &[&str])] = &[("amber", &["akey"]), ("birch", &["bkey"])];
 
 const WITHOUT_AKEY: &[(&str, &[&str])] = &[("birch", &["bkey"])];
@@ -241,3 +248,58 @@
     assert!(holds_within(left, has_exited), "{:?}", stopped_at.elapsed());
     setup.assert_no_violations();
 }
+
+/// A value that the daemon's metrics address serves.
+fn metric(daemon: &Daemon, name: &str) -> u64 {
+    let lines = daemon.log_lines().expect("the log is readable");
+    let address = lines.iter().find_map(|line| line["metrics"].as_str()).expect("an address");
+    let text = http::get_text(address.parse().expect("an address"), "/metrics").expect("metrics");
+    let prefix = format!("persimmon_{name} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    value.and_then(|value| value.trim().parse().ok()).expect("the metric is served")
+}
+
+/// Opens a session that has requested ten large answers.
+fn client_with_large_answers(setup: &Setup) -> LineClient {
+    let mut client = setup.client(0, "p0", "c");
+    let written = client.query(&format!("WRITE item {}", "x".repeat(LARGE)));
+    assert!(written.expect("a response").result.is_ok());
+    for _ in 0..10 {
+        client.send("READ item").expect("the request is sent");
+    }
+    client
+}
+
+/// Guards against a limit on unacknowledged data that is shorter than the time that a client has for
+/// reading its answers: data counts as unacknowledged while the client's window is full.
+#[test]
+fn client_that_reads_late_receives_every_answer() {
+    let setup = setup("ends-late-reader", 1);
+    for pause in [Duration::from_secs(4), ANSWER_TIMEOUT - Duration::from_secs(3)] {
+        let mut client = client_with_large_answers(&setup);
+
+        std::thread::sleep(pause);
+
+        for number in 0..10 {
+            let response = client.receive_response();
+            let sizes: Option<Vec<usize>> =
+                response.as_ref().ok().map(|r| r.rows.iter().map(String::len).collect());
+            assert_eq!(sizes, Some(vec![LARGE]), "{number} after {pause:?}: {:?}", response.err());
+        }
+    }
+    setup.assert_no_violations();
+}
+
+/// Guards against clients that vanish and whose answers are kept.
+#[test]
+fn client_that_never_reads_is_closed() {
+    let setup = setup("ends-no-reader", 1);
+    let client = client_with_large_answers(&setup);
+
+    let has_ended = || {
+        metric(&setup.daemons[0], "sessions_opened") == metric(&setup.daemons[0], "sessions_closed")
+    };
+    assert!(holds_within(ANSWER_TIMEOUT + Duration::from_secs(3), has_ended));
+    drop(client);
+    setup.assert_no_violations();
+}
