Refuse PostgreSQL clients that connect late in a shutdown

What callers saw: a client that connected after the drain delay of a daemon that stops was neither accepted nor refused; it hung until the process exited, up to the drain limit, and was reset then. Cause: the listener was paused, which leaves new connections in the kernel's queue. Change: the daemon goes on accepting, and refuses with 57P03 once it disconnects idle clients.

--- a/crates/persimmon-lab/src/pgclient.rs
+++ b/crates/persimmon-lab/src/pgclient.rs
@@ -1,7 +1,7 @@
 //! A minimal blocking PostgreSQL client for simple queries, used by fake instances and tests.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 use persimmon_pg::{
@@ -37,7 +37,7 @@
         stream.set_write_timeout(Some(timeout))?;
         let mut client = Self { stream, buf: Vec::new() };
         client.stream.write_all(&startup_message(parameters))?;
-        match client.read_response()? {
+        match client.receive_response()? {
             Ok(_) => Ok(client),
             Err((code, message)) => Err(io::Error::other(format!("{code} {message}"))),
         }
@@ -58,15 +58,44 @@
     ///
     /// Returns an error if the connection closes or a read times out.
     pub fn query(&mut self, sql: &str) -> io::Result<QueryResult> {
-        self.stream.write_all(&query(sql))?;
-        self.read_response()
+        self.send(sql)?;
+        self.receive_response()
     }
 
-    fn read_response(&mut self) -> io::Result<QueryResult> {
+    /// Sends a simple query without waiting for its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn send(&mut self, sql: &str) -> io::Result<()> {
+        self.stream.write_all(&query(sql))
+    }
+
+    /// Ends the messages to the peer; responses can still be received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn finish_sending(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
+    /// Receives the response to the oldest outstanding query.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection closes or a read times out.
+    pub fn receive_response(&mut self) -> io::Result<QueryResult> {
         let mut rows = Rows::new();
         let mut error = None;
         loop {
-            let frame = self.read_frame()?;
+            let frame = match self.read_frame() {
+                // A fatal error ends the connection.
+                Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => {
+                    return error.map_or(Err(err), |error| Ok(Err(error)));
+                }
+                frame => frame?,
+            };
             match frame[0] {
                 b'D' => rows.extend(parse_text_row(&frame)),
                 b'E' => {
--- a/crates/persimmond/src/runtime.rs
+++ b/crates/persimmond/src/runtime.rs
@@ -98,20 +98,19 @@
         _ = interrupt.recv() => {}
     }
     // Further signals have no effect: their streams stay registered and are not read.
-    drain(&handles, &server).await;
+    drain(&handles).await;
     server.stop(true).await;
     admin_server.stop(false).await;
     drop((terminate, interrupt));
     Ok(())
 }
 
-async fn drain(handles: &ControlHandles, server: &ntex::server::Server) {
+async fn drain(handles: &ControlHandles) {
     tracing::info!("the daemon is draining");
     // The control thread lives as long as the process, so a failed send needs no handling.
     let _ = handles.events.send(Event::Drain);
     let started = Clock.now();
     sleep(millis(handles.settings.drain_delay)).await;
-    server.pause().await;
     while Clock.now().since(started) < handles.settings.drain_limit {
         let accepted = handles.counters.callers_accepted.load(Ordering::Relaxed);
         let ended = handles.counters.callers_ended.load(Ordering::Relaxed);
--- a/crates/persimmond/src/traffic/caller.rs
+++ b/crates/persimmond/src/traffic/caller.rs
@@ -85,7 +85,12 @@
     Counters::increment(&worker.counters().callers_accepted);
     let context = worker.context.clone();
     if let Some(parameters) = greeting::receive_startup(&io, &context.cancel_registry).await {
-        run_session(&worker, io, &parameters).await;
+        if *worker.disconnects_idle.borrow() {
+            // Clients learn at once that they have to connect elsewhere.
+            greeting::send_fatal(&io, "57P03", "the daemon is shutting down").await;
+        } else {
+            run_session(&worker, io, &parameters).await;
+        }
     }
     Counters::increment(&context.control.counters.callers_ended);
 }
--- a/crates/persimmond/src/traffic/mod.rs
+++ b/crates/persimmond/src/traffic/mod.rs
@@ -54,7 +54,7 @@
     pub(crate) pools: Pools,
     pub(crate) sampler: PositionSampler,
     pub(crate) selection: RefCell<SelectionState>,
-    /// Becomes true when idle clients are to be disconnected.
+    /// Becomes true when idle clients are to be disconnected, and new ones refused.
     pub(crate) disconnects_idle: watch::Sender<bool>,
 }
 
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Disconnects idle clients once the load balancer has had time to notice a shutdown.
+    /// Disconnects idle clients, and refuses new ones, once the load balancer has had time to notice a shutdown.
     async fn watch_shutdown(self: Rc<Self>) {
         let control = &self.context.control;
         let mut revision = control.snapshots.subscribe();
