End PostgreSQL requests with an error before the limit of a shutdown

What callers saw: a connection that ended without a response while a request ran, and no verdict on whether it had run. Cause: at the drain limit the process ended whatever ran, and clients in a transaction lost their connection without an error. Change: 500 ms before the limit requests are refused, as not run or, once sent to an instance, as in doubt; their clients and those in a transaction get the error 57P01.

--- a/crates/persimmond/src/traffic/caller.rs
+++ b/crates/persimmond/src/traffic/caller.rs
@@ -16,8 +16,6 @@
     Clock, InstanceId, PositionToken, Refusal, RefusalReason, ServiceId, TimelineKind, Verdict,
 };
 
-use tokio::sync::watch;
-
 use crate::backend::FrameCodec;
 use crate::cancel::CancelHandle;
 use crate::counters::Counters;
@@ -26,7 +24,7 @@
 use crate::traffic::request::{self, Served};
 use crate::traffic::setting::{self, SessionSettings};
 use crate::traffic::statement::Statements;
-use crate::traffic::{Worker, greeting};
+use crate::traffic::{ShutdownStage, Worker, greeting};
 
 /// How long a client must be idle before it is disconnected, so that the disconnect does not cross
 /// a request that is already on its way.
@@ -85,7 +83,7 @@
     Counters::increment(&worker.counters().callers_accepted);
     let context = worker.context.clone();
     if let Some(parameters) = greeting::receive_startup(&io, &context.cancel_registry).await {
-        if *worker.disconnects_idle.borrow() {
+        if *worker.stage.borrow() >= ShutdownStage::DisconnectingIdle {
             // Clients learn at once that they have to connect elsewhere.
             greeting::send_fatal(&io, "57P03", "the daemon is shutting down").await;
         } else {
@@ -165,9 +163,7 @@
             if result.is_err() {
                 return Disconnect::Client;
             }
-            if *self.worker.disconnects_idle.borrow()
-                && matches!(self.transaction, Transaction::Idle)
-            {
+            if *self.worker.stage.borrow() >= self.last_stage(true) {
                 // The error that ends the connection goes out together with the answer, before the
                 // client can send another request.
                 return Disconnect::Shutdown;
@@ -175,15 +171,22 @@
         }
     }
 
-    /// Receives a message; an idle client is disconnected when the daemon shuts down.
+    /// The stage of a shutdown at which the client is disconnected.
+    fn last_stage(&self, batch_is_empty: bool) -> ShutdownStage {
+        if batch_is_empty && matches!(self.transaction, Transaction::Idle) {
+            ShutdownStage::DisconnectingIdle
+        } else {
+            ShutdownStage::DisconnectingAll
+        }
+    }
+
+    /// Receives a message, unless the client is disconnected as the daemon shuts down.
     async fn receive(&self, batch_is_empty: bool) -> Result<Bytes, Disconnect> {
-        let is_idle = batch_is_empty && matches!(self.transaction, Transaction::Idle);
-        let mut disconnects_idle = self.worker.disconnects_idle.subscribe();
+        let last_stage = self.last_stage(batch_is_empty);
         let received = tokio::select! {
             biased;
             received = self.io.recv(&FrameCodec) => received,
-            () = idle_disconnect(&mut disconnects_idle), if is_idle =>
-                return Err(Disconnect::Shutdown),
+            () = idle_disconnect(&self.worker, last_stage) => return Err(Disconnect::Shutdown),
         };
         match received {
             Ok(Some(frame)) => Ok(frame),
@@ -354,11 +357,9 @@
     }
 }
 
-/// Completes once the daemon disconnects idle clients and [`IDLE_PAUSE`] has passed since.
-async fn idle_disconnect(disconnects_idle: &mut watch::Receiver<bool>) {
-    if disconnects_idle.wait_for(|is_set| *is_set).await.is_err() {
-        return std::future::pending().await;
-    }
+/// Completes once the shutdown has reached a stage and [`IDLE_PAUSE`] has passed since.
+async fn idle_disconnect(worker: &Worker, stage: ShutdownStage) {
+    worker.reaches(stage).await;
     sleep(millis(IDLE_PAUSE)).await;
 }
 
--- a/crates/persimmond/src/traffic/confirm.rs
+++ b/crates/persimmond/src/traffic/confirm.rs
@@ -7,9 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use persimmon_request::PositionReport;
 use persimmon_types::{Clock, InstanceId, Lsn, Position, Term, Time};
 use tokio::sync::oneshot;
 
+use crate::backend::QueryResult;
 use crate::counters::Counters;
 use crate::traffic::Worker;
 
@@ -102,3 +104,16 @@
     let lsn = row.get(1)?.parse().ok()?;
     Some(Position::new(Term(row.first()?.parse().ok()?), Lsn(lsn)))
 }
+
+/// The position that a replica has reported in answer to a query sent at `requested_at`.
+pub(crate) fn position_report(answer: QueryResult, requested_at: Time) -> Option<PositionReport> {
+    let rows = answer.ok()?;
+    let row = rows.first()?;
+    let number = |index: usize| row.get(index)?.parse::<u64>().ok();
+    Some(PositionReport {
+        incarnation: number(0)?,
+        applied: Position::new(Term(number(1)?), Lsn(number(2)?)),
+        age: Duration::from_millis(number(3)?),
+        requested_at,
+    })
+}
--- a/crates/persimmond/src/traffic/mod.rs
+++ b/crates/persimmond/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ntex::io::Io;
 use ntex::server::Server;
@@ -39,6 +40,9 @@
 use crate::traffic::confirm::PositionSampler;
 use crate::traffic::pool::Pools;
 
+/// Time reserved at the end of a shutdown for the last errors to be sent.
+const FINAL_RESERVE: Duration = Duration::from_millis(500);
+
 /// State that all traffic threads share.
 #[derive(Clone, Debug)]
 pub struct TrafficContext {
@@ -48,14 +52,24 @@
     pub cancel_registry: Arc<CancelRegistry>,
 }
 
+/// The stages of a graceful shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ShutdownStage {
+    /// Clients are served.
+    Serving,
+    /// New clients are refused, and idle ones disconnected.
+    DisconnectingIdle,
+    /// All clients are disconnected; their requests and transactions are ended.
+    DisconnectingAll,
+}
+
 /// The state of one traffic thread.
 pub(crate) struct Worker {
     pub(crate) context: TrafficContext,
     pub(crate) pools: Pools,
     pub(crate) sampler: PositionSampler,
     pub(crate) selection: RefCell<SelectionState>,
-    /// Becomes true when idle clients are to be disconnected, and new ones refused.
-    pub(crate) disconnects_idle: watch::Sender<bool>,
+    pub(crate) stage: watch::Sender<ShutdownStage>,
 }
 
 /// What one traffic thread uses to select instances and to decide on retries.
@@ -86,12 +100,13 @@
             pools: Pools::new(settings.traffic_threads, &context.control.counters),
             sampler: PositionSampler::new(),
             selection: RefCell::new(selection),
-            disconnects_idle: watch::Sender::new(false),
+            stage: watch::Sender::new(ShutdownStage::Serving),
             context,
         }
     }
 
-    /// Disconnects idle clients, and refuses new ones, once the load balancer has had time to notice a shutdown.
+    /// Disconnects idle clients, and refuses new ones, once the load balancer has had time to notice a
+    /// shutdown; disconnects all shortly before the shutdown's limit.
     async fn watch_shutdown(self: Rc<Self>) {
         let control = &self.context.control;
         let mut revision = control.snapshots.subscribe();
@@ -100,8 +115,18 @@
                 return;
             }
         }
-        sleep(pool::millis(control.settings.drain_delay)).await;
-        self.disconnects_idle.send_replace(true);
+        let settings = &control.settings;
+        let ends_at = Clock.now() + settings.drain_limit.saturating_sub(FINAL_RESERVE);
+        sleep(pool::millis(settings.drain_delay)).await;
+        self.stage.send_replace(ShutdownStage::DisconnectingIdle);
+        sleep(pool::millis(ends_at.since(Clock.now()))).await;
+        self.stage.send_replace(ShutdownStage::DisconnectingAll);
+    }
+
+    /// Completes once the shutdown has reached a stage.
+    pub(crate) async fn reaches(&self, stage: ShutdownStage) {
+        // The sender lives as long as the worker.
+        let _ = self.stage.subscribe().wait_for(|at| *at >= stage).await;
     }
 
     /// Returns the current routing snapshot. A new version of the table clears the instance
--- a/crates/persimmond/src/traffic/request.rs
+++ b/crates/persimmond/src/traffic/request.rs
@@ -6,8 +6,7 @@
 use ntex::time::{sleep, timeout};
 use ntex::util::BytesMut;
 use persimmon_request::{
-    Access, AnswerKind, Input, PositionReport, Request, RequestContext, RequestMachine,
-    StatementClass, Step,
+    Access, AnswerKind, Input, Request, RequestContext, RequestMachine, StatementClass, Step,
 };
 use persimmon_types::{
     Clock, InstanceId, Lsn, Position, Refusal, RefusalReason, ServiceId, Term, Time,
@@ -15,13 +14,13 @@
 
 use crate::backend::{BackendError, QueryResult};
 use crate::counters::Counters;
-use crate::traffic::Worker;
 use crate::traffic::batch::Batch;
 use crate::traffic::caller::{Client, Transaction};
-use crate::traffic::confirm::sample_primary;
+use crate::traffic::confirm::{position_report, sample_primary};
 use crate::traffic::greeting::{cancel_target, should_log};
 use crate::traffic::pool::{AcquireError, PooledConnection, millis};
 use crate::traffic::relay::{Relay, Response};
+use crate::traffic::{ShutdownStage, Worker};
 
 /// How long a replica may take to report its applied position.
 const POSITION_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -58,6 +57,8 @@
     connection: Option<PooledConnection>,
     instance: Option<InstanceId>,
     response: Option<Response>,
+    /// Whether the batch was sent to an instance.
+    was_sent: bool,
     /// Whether the batch is bound to a connection, by a transaction or by a pinned client.
     keeps_connection: bool,
     /// Whether a transaction was open before the batch.
@@ -71,15 +72,18 @@
     };
     let gone = client.io.on_disconnect();
     let cancel = std::sync::Arc::clone(&client.cancel);
+    let worker = Rc::clone(&client.worker);
     // The relay writes to the client's stream while the driver borrows the rest of the client.
     let io = client.io.take();
     let served = {
         let mut driver = Driver::new(client, batch, service, &io);
-        tokio::select! {
+        let ended = tokio::select! {
             biased;
-            served = driver.run() => served,
-            () = gone => Served::ClientGone,
-        }
+            served = driver.run() => Some(served),
+            () = gone => Some(Served::ClientGone),
+            () = worker.reaches(ShutdownStage::DisconnectingAll) => None,
+        };
+        ended.unwrap_or_else(|| driver.stop())
     };
     client.io = io;
     cancel.set_running(None);
@@ -103,8 +107,8 @@
         let row = snapshot.table.service_row(service);
         let access = access(batch, row.replica_reads);
         let max_age = batch.hint.max_age.unwrap_or(row.max_staleness);
-        let request = Request { service, access, max_age, wait_until: now + class_row.max_wait };
-        let mut request = request;
+        let mut request =
+            Request { service, access, max_age, wait_until: now + class_row.max_wait };
         let mut connection = None;
         let mut instance = None;
         let opened = std::mem::replace(&mut client.transaction, Transaction::Idle);
@@ -134,6 +138,7 @@
             connection,
             instance,
             response: None,
+            was_sent: false,
             keeps_connection,
             in_transaction,
         }
@@ -268,6 +273,7 @@
             Counters::increment(&worker.counters().retries);
             self.relay.reset();
         }
+        self.was_sent = true;
         self.client.cancel.set_running(cancel_target(connection.backend()));
         worker.selection.borrow_mut().tracker.record_start(instance);
         let left = self.deadline.since(Clock.now());
@@ -407,6 +413,17 @@
         Served::Refused(refusal)
     }
 
+    /// Refuses the batch because the process ends.
+    fn stop(&mut self) -> Served {
+        let refuse = if self.was_sent { Refusal::may_have_run } else { Refusal::not_run };
+        let refusal = refuse(RefusalReason::Draining);
+        if self.keeps_connection {
+            self.lose_transaction(refusal)
+        } else {
+            Served::Refused(refusal)
+        }
+    }
+
     fn lose_transaction(&mut self, refusal: Refusal) -> Served {
         if let Some(connection) = &mut self.connection {
             connection.discard_on_drop();
@@ -473,15 +490,3 @@
         _ => Input::MajorityAcknowledged(None),
     }
 }
-
-fn position_report(answer: QueryResult, requested_at: Time) -> Option<PositionReport> {
-    let rows = answer.ok()?;
-    let row = rows.first()?;
-    let number = |index: usize| row.get(index)?.parse::<u64>().ok();
-    Some(PositionReport {
-        incarnation: number(0)?,
-        applied: Position::new(Term(number(1)?), Lsn(number(2)?)),
-        age: Duration::from_millis(number(3)?),
-        requested_at,
-    })
-}
--- a/crates/persimmond/tests/connection_ends.rs
+++ b/crates/persimmond/tests/connection_ends.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// Guards against a request that is cut as it takes longer than the shutdown may.
+#[test]
+fn request_that_outlasts_the_shutdown_gets_an_error() {
+    let cluster = daemon();
+    create_table(&cluster);
+    let mut client = open(&cluster);
+    client.send("SELECT pg_sleep(6)").expect("the request is sent");
+    std::thread::sleep(Duration::from_millis(200));
+
+    let stopped_at = Instant::now();
+    cluster.daemons[0].process.signal(Signal::TERM);
+    let response = client.receive_response();
+
+    let response = response.expect("a response");
+    assert!(response.is_err(), "{response:?}");
+    assert!(stopped_at.elapsed() < DRAIN_LIMIT * 2, "{:?}", stopped_at.elapsed());
+}
+
 /// Guards against connections that a daemon that stops neither accepts nor refuses.
 #[test]
 fn clients_that_connect_late_in_a_shutdown_are_refused_at_once() {
