Answer PostgreSQL requests whose client has ended its messages

What callers saw: a client that sends a request and half-closes got no response, though the request may have run. Cause: the server library stops a connection in both directions at the end of its input, and the request was dropped then. Change: clients have a connection of their own, whose output stays open at the end of the input; the traffic threads accept from the listener themselves. A request runs to its end, or its deadline, when its client leaves meanwhile, as in a PostgreSQL server.

--- a/crates/persimmond/src/runtime.rs
+++ b/crates/persimmond/src/runtime.rs
@@ -91,7 +91,7 @@
         control: handles.clone(),
         cancel_registry: Arc::new(CancelRegistry::default()),
     };
-    let server = traffic::serve(context, client_listener)?;
+    traffic::serve(&context, &client_listener)?;
     let admin_server = admin::serve(handles.clone(), admin_listener)?;
     tokio::select! {
         _ = terminate.recv() => {}
@@ -99,7 +99,6 @@
     }
     // Further signals have no effect: their streams stay registered and are not read.
     drain(&handles).await;
-    server.stop(true).await;
     admin_server.stop(false).await;
     drop((terminate, interrupt));
     Ok(())
--- a/crates/persimmond/src/traffic/caller.rs
+++ b/crates/persimmond/src/traffic/caller.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::io::Io;
 use ntex::time::sleep;
 use ntex::util::{Bytes, BytesMut, Either};
 use persimmon_pg::{
@@ -24,6 +23,7 @@
 use crate::traffic::request::{self, Served};
 use crate::traffic::setting::{self, SessionSettings};
 use crate::traffic::statement::Statements;
+use crate::traffic::stream::ClientStream;
 use crate::traffic::{ShutdownStage, Worker, greeting};
 
 /// How long a client must be idle before it is disconnected, so that the disconnect does not cross
@@ -54,7 +54,7 @@
 /// One client and the state of its session.
 pub(crate) struct Client {
     pub(crate) worker: Rc<Worker>,
-    pub(crate) io: Io,
+    pub(crate) stream: Rc<ClientStream>,
     pub(crate) cancel: Arc<CancelHandle>,
     pub(crate) session: Session,
     pub(crate) settings: SessionSettings,
@@ -79,15 +79,15 @@
 }
 
 /// Serves a client until it disconnects.
-pub(crate) async fn serve(worker: Rc<Worker>, io: Io) {
+pub(crate) async fn serve(worker: Rc<Worker>, stream: ClientStream) {
     Counters::increment(&worker.counters().callers_accepted);
     let context = worker.context.clone();
-    if let Some(parameters) = greeting::receive_startup(&io, &context.cancel_registry).await {
+    if let Some(parameters) = greeting::receive_startup(&stream, &context.cancel_registry).await {
         if *worker.stage.borrow() >= ShutdownStage::DisconnectingIdle {
             // Clients learn at once that they have to connect elsewhere.
-            greeting::send_fatal(&io, "57P03", "the daemon is shutting down").await;
+            greeting::send_fatal(&stream, "57P03", "the daemon is shutting down").await;
         } else {
-            run_session(&worker, io, &parameters).await;
+            run_session(&worker, stream, &parameters).await;
         }
     }
     Counters::increment(&context.control.counters.callers_ended);
@@ -95,31 +95,32 @@
 
 async fn run_session(
     worker: &Rc<Worker>,
-    io: Io,
+    stream: ClientStream,
     parameters: &std::collections::BTreeMap<String, String>,
 ) {
     let user = parameters.get("user").cloned().unwrap_or_default();
     let service = parameters.get("database").cloned().unwrap_or(user);
     if worker.routing_snapshot().table.service(&service).is_none() {
         let message = format!("the table has no service `{service}`");
-        greeting::send_fatal(&io, sqlstate::UNKNOWN_DATABASE, &message).await;
+        greeting::send_fatal(&stream, sqlstate::UNKNOWN_DATABASE, &message).await;
         return;
     }
     let mut session = Session::new(Clock.now());
     let mut settings = SessionSettings::default();
     for (name, value) in setting::from_startup(parameters.iter()) {
         if let Err(err) = setting::apply(&mut session, &mut settings, &name, &value) {
-            greeting::send_fatal(&io, sqlstate::INVALID_PARAMETER_VALUE, &err.to_string()).await;
+            greeting::send_fatal(&stream, sqlstate::INVALID_PARAMETER_VALUE, &err.to_string())
+                .await;
             return;
         }
     }
-    let Ok(key) = greeting::accept_startup(&io) else {
+    let Ok(key) = greeting::accept_startup(&stream) else {
         return;
     };
     let cancel_registry = Arc::clone(&worker.context.cancel_registry);
     let mut client = Client {
         worker: Rc::clone(worker),
-        io,
+        stream: Rc::new(stream),
         cancel: cancel_registry.register(key),
         session,
         settings,
@@ -132,13 +133,14 @@
     let end = client.run().await;
     cancel_registry.forget(key);
     match end {
-        Disconnect::Client => {}
+        Disconnect::Client => greeting::flush(&client.stream).await,
         Disconnect::Shutdown => {
-            greeting::send_fatal(&client.io, "57P01", "the daemon is shutting down (not run)")
+            greeting::send_fatal(&client.stream, "57P01", "the daemon is shutting down (not run)")
                 .await;
         }
         Disconnect::Protocol(err) => {
-            greeting::send_fatal(&client.io, sqlstate::PROTOCOL_VIOLATION, &err.to_string()).await;
+            greeting::send_fatal(&client.stream, sqlstate::PROTOCOL_VIOLATION, &err.to_string())
+                .await;
         }
     }
 }
@@ -185,7 +187,7 @@
         let last_stage = self.last_stage(batch_is_empty);
         let received = tokio::select! {
             biased;
-            received = self.io.recv(&FrameCodec) => received,
+            received = self.stream.recv(&FrameCodec) => received,
             () = idle_disconnect(&self.worker, last_stage) => return Err(Disconnect::Shutdown),
         };
         match received {
@@ -230,7 +232,6 @@
                 self.deliver(&buffered, status, position)
             }
             Served::Refused(refusal) => self.send_refusal(refusal),
-            Served::ClientGone => Err(std::io::ErrorKind::BrokenPipe.into()),
         }
     }
 
@@ -248,7 +249,7 @@
             out.extend_from_slice(&parameter_status("persimmon.token", &token));
         }
         out.extend_from_slice(&ready_for_query(status));
-        self.io.encode_slice(&out)
+        self.stream.send(&out)
     }
 
     fn transaction_status(&self) -> u8 {
@@ -277,14 +278,14 @@
         let detail = format!("verdict={}", refusal.verdict);
         let mut out = error_response("ERROR", code, &refusal.to_string(), &detail);
         out.extend_from_slice(&ready_for_query(self.transaction_status()));
-        self.io.encode_slice(&out)
+        self.stream.send(&out)
     }
 
     fn send_error(&mut self, code: &str, message: &str) -> std::io::Result<()> {
         let detail = format!("verdict={}", Verdict::NotRun);
         let mut out = error_response("ERROR", code, message, &detail);
         out.extend_from_slice(&ready_for_query(self.transaction_status()));
-        self.io.encode_slice(&out)
+        self.stream.send(&out)
     }
 
     fn send_batch_error(&mut self, err: &BatchError) -> std::io::Result<()> {
@@ -336,7 +337,7 @@
         if let Body::Simple(_) = batch.body {
             let mut out = empty_message(b'I');
             out.extend_from_slice(&ready_for_query(b'I'));
-            return self.io.encode_slice(&out);
+            return self.stream.send(&out);
         }
         self.answer_locally(batch, "")
     }
@@ -353,7 +354,7 @@
             }
         }
         out.extend_from_slice(&ready_for_query(self.transaction_status()));
-        self.io.encode_slice(&out)
+        self.stream.send(&out)
     }
 }
 
--- a/crates/persimmond/src/traffic/greeting.rs
+++ b/crates/persimmond/src/traffic/greeting.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use ntex::codec::Decoder;
-use ntex::io::Io;
 use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
 use persimmon_pg::{
@@ -17,6 +16,7 @@
 use crate::backend::{BackendConnection, BackendError};
 use crate::cancel::CancelRegistry;
 use crate::traffic::pool::millis;
+use crate::traffic::stream::ClientStream;
 
 /// How long a client may take to send its startup message.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,6 +24,9 @@
 /// How long an instance may take to accept a cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// How long a client may take to read its last responses.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How long a client may take to close its end after a fatal error.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -45,36 +48,36 @@
 
 /// Returns a client's startup parameters, or `None` if the connection ends here.
 pub(crate) async fn receive_startup(
-    io: &Io,
+    stream: &ClientStream,
     cancel_registry: &Arc<CancelRegistry>,
 ) -> Option<BTreeMap<String, String>> {
-    match timeout(millis(STARTUP_TIMEOUT), negotiate(io, cancel_registry)).await {
+    match timeout(millis(STARTUP_TIMEOUT), negotiate(stream, cancel_registry)).await {
         Ok(parameters) => parameters,
         Err(()) => {
-            send_fatal(io, sqlstate::PROTOCOL_VIOLATION, "no startup message in time").await;
+            send_fatal(stream, sqlstate::PROTOCOL_VIOLATION, "no startup message in time").await;
             None
         }
     }
 }
 
 async fn negotiate(
-    io: &Io,
+    stream: &ClientStream,
     cancel_registry: &Arc<CancelRegistry>,
 ) -> Option<BTreeMap<String, String>> {
     loop {
-        let packet = match io.recv(&StartupCodec).await {
+        let packet = match stream.recv(&StartupCodec).await {
             Ok(Some(packet)) => packet,
             Ok(None) => return None,
             Err(err) => {
                 if let ntex::util::Either::Left(err) = err {
-                    send_fatal(io, sqlstate::PROTOCOL_VIOLATION, &err.to_string()).await;
+                    send_fatal(stream, sqlstate::PROTOCOL_VIOLATION, &err.to_string()).await;
                 }
                 return None;
             }
         };
         match parse_startup_packet(&packet) {
             Ok(StartupPacket::EncryptionRequest) => {
-                io.encode_slice(b"N").ok()?;
+                stream.send(b"N").ok()?;
             }
             Ok(StartupPacket::CancelRequest { pid, secret }) => {
                 forward_cancel(cancel_registry, (pid, secret)).await;
@@ -82,7 +85,7 @@
             }
             Ok(StartupPacket::Startup { parameters, .. }) => return Some(parameters),
             Err(err) => {
-                send_fatal(io, sqlstate::PROTOCOL_VIOLATION, &err.to_string()).await;
+                send_fatal(stream, sqlstate::PROTOCOL_VIOLATION, &err.to_string()).await;
                 return None;
             }
         }
@@ -110,7 +113,7 @@
 }
 
 /// Accepts a client's startup and returns the key that cancels its requests.
-pub(crate) fn accept_startup(io: &Io) -> std::io::Result<(i32, i32)> {
+pub(crate) fn accept_startup(stream: &ClientStream) -> std::io::Result<(i32, i32)> {
     let key = rand::rng().random::<(i32, i32)>();
     let mut out = authentication_ok();
     for (name, value) in [
@@ -125,25 +128,26 @@
     }
     out.extend_from_slice(&backend_key_data(key.0, key.1));
     out.extend_from_slice(&ready_for_query(b'I'));
-    io.encode_slice(&out)?;
+    stream.send(&out)?;
     Ok(key)
 }
 
+/// Sends what is left of the responses to a client.
+pub(crate) async fn flush(stream: &ClientStream) {
+    // A client that does not take its responses in time, or has disconnected, loses them.
+    let _ = timeout(millis(FLUSH_TIMEOUT), stream.flush()).await;
+}
+
 /// Sends the error that ends a client's connection.
-pub(crate) async fn send_fatal(io: &Io, code: &str, message: &str) {
+pub(crate) async fn send_fatal(stream: &ClientStream, code: &str, message: &str) {
     let error = error_response("FATAL", code, message, "");
-    if io.encode_slice(&error).is_err() || io.flush(true).await.is_err() {
+    if stream.send(&error).is_err() || stream.flush().await.is_err() {
         // The client has disconnected already.
         return;
     }
     // Closing with unread input would reset the connection and could lose the error; a client
     // that has read the error closes its end.
-    let discarded = async {
-        while let Ok(Some(())) = io.read_notify().await {
-            io.with_read_buf(|buf| buf.clear());
-        }
-    };
-    let _ = timeout(millis(CLOSE_TIMEOUT), discarded).await;
+    let _ = timeout(millis(CLOSE_TIMEOUT), stream.discard_input()).await;
 }
 
 /// Whether an error of a connection to an instance is logged; a refused or reset connection is not.
--- a/crates/persimmond/src/traffic/mod.rs
+++ b/crates/persimmond/src/traffic/mod.rs
@@ -12,17 +12,16 @@
 mod request;
 mod setting;
 mod statement;
+mod stream;
 
 use std::cell::RefCell;
 use std::io;
-use std::net::TcpListener;
+use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::io::Io;
-use ntex::server::Server;
-use ntex::service::fn_service;
+use ntex::rt::Arbiter;
 use ntex::time::sleep;
 use persimmon_kernel::Event;
 use persimmon_request::{
@@ -31,6 +30,7 @@
 use persimmon_types::{Clock, ServiceId, Term, TimelineKind};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::cancel::CancelRegistry;
@@ -39,6 +39,10 @@
 use crate::settings::PolicyName;
 use crate::traffic::confirm::PositionSampler;
 use crate::traffic::pool::Pools;
+use crate::traffic::stream::ClientStream;
+
+/// Pause after the listener failed, such as when out of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time reserved at the end of a shutdown for the last errors to be sent.
 const FINAL_RESERVE: Duration = Duration::from_millis(500);
@@ -170,24 +174,47 @@
     }
 }
 
-/// Serves clients on a listener.
+/// Serves clients on a listener, on threads of their own, until the process ends.
 ///
 /// # Errors
 ///
 /// Returns an error if the listener cannot be used.
-pub fn serve(context: TrafficContext, listener: TcpListener) -> io::Result<Server> {
-    let threads = context.control.settings.traffic_threads;
-    let server = ntex::server::build().workers(threads).disable_signals().listen(
-        "callers",
-        listener,
-        async move |_| {
-            let worker = Rc::new(Worker::new(context.clone()));
-            ntex::rt::spawn(Rc::clone(&worker).watch_shutdown());
-            fn_service(async move |io: Io| {
-                caller::serve(Rc::clone(&worker), io).await;
-                Ok::<_, io::Error>(())
-            })
-        },
-    )?;
-    Ok(server.run())
+pub fn serve(context: &TrafficContext, listener: &StdListener) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    for number in 0..context.control.settings.traffic_threads {
+        let context = context.clone();
+        let listener = listener.try_clone()?;
+        // The task runs on the new thread, and the one that it spawns need not be `Send`.
+        Arbiter::with_name(format!("traffic-{number}")).handle().spawn(async move {
+            ntex::rt::spawn(accept_clients(context, listener));
+        });
+    }
+    Ok(())
+}
+
+async fn accept_clients(context: TrafficContext, listener: StdListener) {
+    let worker = Rc::new(Worker::new(context));
+    ntex::rt::spawn(Rc::clone(&worker).watch_shutdown());
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(err) => {
+            tracing::error!(error = %err, "clients cannot be accepted");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(err) = stream.set_nodelay(true) {
+                    tracing::debug!(error = %err, "client connection setup failed");
+                    continue;
+                }
+                ntex::rt::spawn(caller::serve(Rc::clone(&worker), ClientStream::new(stream)));
+            }
+            Err(err) => {
+                tracing::warn!(error = %err, "accepting a client connection failed");
+                sleep(pool::millis(ACCEPT_RETRY_DELAY)).await;
+            }
+        }
+    }
 }
--- a/crates/persimmond/src/traffic/relay.rs
+++ b/crates/persimmond/src/traffic/relay.rs
@@ -9,13 +9,13 @@
 
 use std::collections::VecDeque;
 
-use ntex::io::Io;
 use ntex::util::BytesMut;
 use persimmon_pg::{ErrorFields, empty_message, parse_error_fields, query, sqlstate};
 use persimmon_request::AnswerKind;
 
 use crate::backend::{BackendConnection, BackendError, QueryResult};
 use crate::traffic::batch::{Body, ExpectedResponse, encode_extended};
+use crate::traffic::stream::ClientStream;
 
 /// How many bytes of a response are buffered before rows are forwarded to the client. A response
 /// that fits into the buffer can be discarded and its request sent again.
@@ -36,7 +36,7 @@
 
 /// The relay of one batch.
 pub(crate) struct Relay<'a> {
-    client: &'a Io,
+    client: &'a ClientStream,
     /// The part of the response that has not been forwarded to the client.
     pub(crate) buffered: BytesMut,
     /// Whether any part of the response has been forwarded to the client.
@@ -48,7 +48,7 @@
 
 impl<'a> Relay<'a> {
     /// Creates a relay to a client; the completion of a write is withheld.
-    pub(crate) fn new(client: &'a Io, withholds_completion: bool) -> Self {
+    pub(crate) fn new(client: &'a ClientStream, withholds_completion: bool) -> Self {
         Self {
             client,
             buffered: BytesMut::new(),
@@ -185,8 +185,8 @@
         let rows = self.buffered.split_to(forwardable);
         self.completion_start = self.completion_start.map(|_| 0);
         self.has_forwarded = true;
-        self.client.encode_slice(&rows)?;
-        self.client.flush(false).await?;
+        self.client.send(&rows)?;
+        self.client.flush().await?;
         Ok(())
     }
 }
--- a/crates/persimmond/src/traffic/request.rs
+++ b/crates/persimmond/src/traffic/request.rs
@@ -20,6 +20,7 @@
 use crate::traffic::greeting::{cancel_target, should_log};
 use crate::traffic::pool::{AcquireError, PooledConnection, millis};
 use crate::traffic::relay::{Relay, Response};
+use crate::traffic::stream::ClientStream;
 use crate::traffic::{ShutdownStage, Worker};
 
 /// How long a replica may take to report its applied position.
@@ -42,8 +43,6 @@
     },
     /// The batch was refused.
     Refused(Refusal),
-    /// The client disconnected before the batch ended.
-    ClientGone,
 }
 
 /// Drives one batch: performs the I/O that the state machine asks for.
@@ -70,22 +69,19 @@
     let Some(service) = client.resolve() else {
         return Served::Refused(Refusal::not_run(RefusalReason::UnknownService));
     };
-    let gone = client.io.on_disconnect();
     let cancel = std::sync::Arc::clone(&client.cancel);
     let worker = Rc::clone(&client.worker);
     // The relay writes to the client's stream while the driver borrows the rest of the client.
-    let io = client.io.take();
+    let stream = Rc::clone(&client.stream);
     let served = {
-        let mut driver = Driver::new(client, batch, service, &io);
+        let mut driver = Driver::new(client, batch, service, &stream);
         let ended = tokio::select! {
             biased;
             served = driver.run() => Some(served),
-            () = gone => Some(Served::ClientGone),
             () = worker.reaches(ShutdownStage::DisconnectingAll) => None,
         };
         ended.unwrap_or_else(|| driver.stop())
     };
-    client.io = io;
     cancel.set_running(None);
     served
 }
@@ -95,7 +91,7 @@
         client: &'a mut Client,
         batch: &'a Batch,
         service: ServiceId,
-        io: &'a ntex::io::Io,
+        stream: &'a ClientStream,
     ) -> Self {
         let snapshot = client.worker.routing_snapshot();
         let now = Clock.now();
@@ -129,7 +125,7 @@
             _ => RequestMachine::new(request),
         };
         Self {
-            relay: Relay::new(io, request.access == Access::Write),
+            relay: Relay::new(stream, request.access == Access::Write),
             client,
             batch,
             machine,
--- a/crates/persimmond/tests/connection_ends.rs
+++ b/crates/persimmond/tests/connection_ends.rs
@@ -50,6 +50,24 @@
     created.expect("a response").expect("the table is created");
 }
 
+/// Guards against a response that is dropped with the end of the client's messages.
+#[test]
+fn request_before_the_end_of_the_clients_messages_is_answered() {
+    let cluster = daemon();
+    create_table(&cluster);
+    let statements =
+        ["SELECT pg_sleep(0.2)", "SELECT id FROM ledger", "INSERT INTO ledger VALUES ('a', 1)"];
+    for sql in statements {
+        let mut client = open(&cluster);
+
+        client.send(sql).expect("the request is sent");
+        client.finish_sending().expect("the end is sent");
+
+        let response = client.receive_response();
+        assert!(matches!(response, Ok(Ok(_))), "{sql}: {response:?}");
+    }
+}
+
 /// What a client that sends each request at once on the response to the one before has seen.
 #[derive(Debug, Default)]
 struct Seen {
