Answer requests of sessions that open as a daemon ends

What callers saw: a broken or reset connection under a request of a session that had opened within the last seconds of a daemon that stops. Cause: connections were accepted until the process ended, also while the lease of its share of the quotas was handed back, for which a frozen coordinator takes 100 ms; whoever came then was cut. Load balancers send connections to daemons that are not ready where most of a failure domain restarts. Change: no connection is accepted from the stage that rolls back open transactions, one second before the limit, and before an earlier exit the daemon waits until nothing was served for 150 ms, so that answers to other daemons are sent too.

--- a/crates/persimmon-proxy/src/drain.rs
+++ b/crates/persimmon-proxy/src/drain.rs
@@ -15,6 +15,10 @@
 /// Time reserved for the last replies to be sent and the process to exit.
 const FINAL_RESERVE: Duration = Duration::from_millis(500);
 
+/// How long no session must have been open when the process exits: time for a connection that was just
+/// accepted to start one, and for an answer to another daemon to be sent.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+
 /// How often the number of sessions is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -51,6 +55,11 @@
 }
 
 impl Worker {
+    /// Whether no client and no other daemon is served.
+    fn is_idle(&self) -> bool {
+        self.sessions.get() == 0 && self.held.get() == 0
+    }
+
     /// Whether a statement that may take `timeout` may start.
     pub(crate) fn may_start(&self, timeout: Duration) -> bool {
         let schedule = self.shutdown.get();
@@ -78,8 +87,7 @@
     stage.send_replace(ShutdownStage::ClosingIdle);
     loop {
         let passed = Clock.now().since(began);
-        let is_idle = worker.sessions.get() == 0 && worker.held.get() == 0;
-        if is_idle && passed + FINAL_RESERVE >= limit / 2 {
+        if worker.is_idle() && passed + FINAL_RESERVE >= limit / 2 {
             break;
         }
         if passed + FINAL_RESERVE * 2 >= limit
@@ -94,6 +102,19 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    stage.send_replace(ShutdownStage::AbortingTransactions);
+    settle(worker, began + limit).await;
     worker.hand_back_share().await;
     tracing::info!(sessions = worker.sessions.get(), "stopped");
 }
+
+/// Waits until nothing has been served for [`SETTLE_TIME`], or until shortly before `end`.
+async fn settle(worker: &Worker, end: Time) {
+    let mut idle_since = Clock.now();
+    while Clock.now() + FINAL_RESERVE / 2 < end && Clock.now().since(idle_since) < SETTLE_TIME {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        if !worker.is_idle() {
+            idle_since = Clock.now();
+        }
+    }
+}
--- a/crates/persimmon-proxy/src/traffic.rs
+++ b/crates/persimmon-proxy/src/traffic.rs
@@ -70,7 +70,7 @@
     NotReady,
     /// Sessions without an open transaction are closed.
     ClosingIdle,
-    /// Open transactions are rolled back and their sessions closed.
+    /// Open transactions are rolled back and their sessions closed; no client is accepted.
     AbortingTransactions,
 }
 
@@ -224,7 +224,7 @@
     }
 }
 
-/// Accepts clients until the process ends.
+/// Accepts clients until shortly before the process exits.
 ///
 /// # Errors
 ///
@@ -238,8 +238,14 @@
     let listener = TcpListener::from_std(listener)?;
     let accepting = Rc::clone(worker);
     ntex::rt::spawn(async move {
+        let mut stage = accepting.stage.clone();
         loop {
-            let stream = match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                () = stops_accepting(&mut stage) => break,
+                accepted = listener.accept() => accepted,
+            };
+            let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(err) => {
                     tracing::warn!(error = %err, "accepting a client connection failed");
@@ -289,6 +295,11 @@
     Ok(())
 }
 
+async fn stops_accepting(stage: &mut watch::Receiver<ShutdownStage>) {
+    // The sender is dropped only as the process exits.
+    let _ = stage.wait_for(|stage| *stage >= ShutdownStage::AbortingTransactions).await;
+}
+
 /// Keeps a connection open to each instance as far as the daemon's share allows, so that neither
 /// the first clients nor those of a new primary wait for a handshake.
 ///
--- a/crates/persimmond/tests/fleet/mod.rs
+++ b/crates/persimmond/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons as separate processes against a fake platform, for the tests of the line protocol.
 #![allow(dead_code, reason = "each test program uses a part of the fixtures")]
 
+pub mod callers;
 pub mod crowd;
 pub mod keys;
 pub mod owners;
