Time limits of the lab's table, and clients that send half a message

The routes of the fake platform had one statement timeout and one limit of idle transactions, so that no run could change them. A client could not tell whether the daemon had ended its connection before it sent the next request, nor send a request in two parts under an id of its own. LineCluster::set_table_limits sets both limits for the next versions of the table; without it they stay as they were.

--- a/crates/persimmon-lab/src/line_cluster/client.rs
+++ b/crates/persimmon-lab/src/line_cluster/client.rs
@@ -122,13 +122,48 @@
         self.stream.shutdown(Shutdown::Write)
     }
 
+    /// Sets how long each read waits for the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn set_response_timeout(&self, timeout: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(timeout))
+    }
+
+    /// Whether the daemon has ended the connection; does not wait.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let peek = self.stream.set_nonblocking(true).and_then(|()| self.stream.peek(&mut [0]));
+        let restored = self.stream.set_nonblocking(false);
+        let is_waiting = peek.as_ref().is_err_and(|err| err.kind() == io::ErrorKind::WouldBlock);
+        restored.is_err() || !(is_waiting || peek.is_ok_and(|count| count > 0))
+    }
+
+    /// Sends the first half of a request; returns the other one, for [`Self::send_raw`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is broken.
+    pub fn send_half(&mut self, text: &str) -> io::Result<String> {
+        self.id = self.next_id();
+        let message = format!("QUERY {} {text}\r\n", self.id);
+        let (first, rest) = message.split_at(message.len() / 2);
+        self.send_raw(first.as_bytes())?;
+        Ok(rest.to_owned())
+    }
+
+    fn next_id(&self) -> String {
+        format!("{}:{}", self.name, NEXT_ID.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Sends a request without waiting for its response.
     ///
     /// # Errors
     ///
     /// Returns an error if the connection is broken.
     pub fn send(&mut self, text: &str) -> io::Result<()> {
-        self.id = format!("{}:{}", self.name, NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        self.id = self.next_id();
         write!(self.stream, "QUERY {} {text}\r\n", self.id)
     }
 
--- a/crates/persimmon-lab/src/line_cluster/mod.rs
+++ b/crates/persimmon-lab/src/line_cluster/mod.rs
@@ -54,6 +54,21 @@
     }
 }
 
+/// The time limits that the table names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableLimits {
+    /// How long a statement may take, on every route.
+    pub statement: Duration,
+    /// How long a transaction may be idle.
+    pub idle_transaction: Duration,
+}
+
+impl Default for TableLimits {
+    fn default() -> Self {
+        Self { statement: Duration::from_millis(1_500), idle_transaction: Duration::from_secs(3) }
+    }
+}
+
 /// An object store, and database groups whose instances are registered in it.
 #[derive(Debug)]
 pub struct LineCluster {
@@ -73,6 +88,8 @@
     workspaces: Mutex<Option<Value>>,
     /// The databases whose routes need no key.
     public_databases: Mutex<Vec<String>>,
+    /// The time limits that the next versions of the table name.
+    table_limits: Mutex<TableLimits>,
     /// The bounds of quotas in the settings of daemons, as the platform writes them; empty in a
     /// deployment without quotas.
     quota_bounds: String,
@@ -114,6 +131,7 @@
             checks_drain_limit: true,
             workspaces: Mutex::default(),
             public_databases: Mutex::default(),
+            table_limits: Mutex::default(),
             quota_bounds: String::new(),
             written: Mutex::default(),
         };
@@ -155,6 +173,11 @@
         *self.public_databases.lock().unwrap_or_else(PoisonError::into_inner) = databases;
     }
 
+    /// Sets the time limits that the next versions of the table name.
+    pub fn set_table_limits(&self, limits: TableLimits) {
+        *self.table_limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+
     /// Sets how far the settings of daemons let quotas be exceeded: the window in seconds, the part of
     /// the quota, and a number of operations.
     #[must_use]
@@ -255,13 +278,19 @@
 
     /// The same, where each of `extra_routes` names a database and the number of its service.
     pub fn put_routes(&self, version: u64, extra_routes: &[(&str, usize)]) {
+        let limits = *self.table_limits.lock().unwrap_or_else(PoisonError::into_inner);
         let mut routes = Vec::new();
         let mut services = Vec::new();
         for (number, (group, _)) in self.groups.iter().enumerate() {
             let route_types =
                 [("p", "primary"), ("b", "bounded_staleness"), ("r", "read_your_writes")];
             for (prefix, route_type) in route_types {
-                routes.push(route_json(&format!("{prefix}{number}"), route_type, &group.name));
+                routes.push(route_json(
+                    &format!("{prefix}{number}"),
+                    route_type,
+                    &group.name,
+                    limits.statement,
+                ));
             }
             services.push(json!({
                 "name": group.name, "max_conns": self.max_connections,
@@ -269,7 +298,8 @@
             }));
         }
         for (database, service) in extra_routes {
-            routes.push(route_json(database, "primary", &format!("svc{service}")));
+            let service = format!("svc{service}");
+            routes.push(route_json(database, "primary", &service, limits.statement));
         }
         let public = self.public_databases.lock().unwrap_or_else(PoisonError::into_inner).clone();
         for route in &mut routes {
@@ -279,7 +309,7 @@
         }
         let mut table = json!({
             "version": version, "routes": routes, "services": services,
-            "limits": {"tx_idle_ms": 3_000},
+            "limits": {"tx_idle_ms": whole_ms(limits.idle_transaction)},
         });
         let workspaces = self.workspaces.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some(workspaces) = workspaces {
@@ -321,11 +351,15 @@
     }
 }
 
-fn route_json(database: &str, route_type: &str, service: &str) -> serde_json::Value {
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn route_json(database: &str, route_type: &str, service: &str, timeout: Duration) -> Value {
     json!({
         "name": format!("r-{database}"), "host": database, "path_prefix": "/", "type": route_type,
-        "timeout_ms": 1_500, "latency_target_ms": 400, "priority": 1, "service": service,
-        "max_attempts": 2, "max_staleness_ms": 1_000,
+        "timeout_ms": whole_ms(timeout), "latency_target_ms": 400, "priority": 1,
+        "service": service, "max_attempts": 2, "max_staleness_ms": 1_000,
     })
 }
 
