Soak: end sessions in all the ways that daemons have, and check their requests

Cause: the soak killed, stopped and paused daemons, but its hosts had room for all sessions, its clients never rested, half-closed or sent half a message, and a broken connection was only counted. Requests that were lost with their sessions went unnoticed. Clients of six kinds send at once, rest, half-close, complete messages late, read late and pause in transactions. The cuts that daemons log are counted by reason, and are violations where the daemon had a reason of its own and the client was reading. A daemon that ends without having been asked to is a violation in every mode.

--- a/crates/persimmon-soak/examples/soak.rs
+++ b/crates/persimmon-soak/examples/soak.rs
@@ -44,6 +44,10 @@
     keys: bool,
     /// let commits wait for one replica, and also replace instances and hosts
     synchronous: bool,
+    /// also give hosts room for few sessions, and let these end for all reasons that daemons have
+    ends: bool,
+    /// leave out the faults that every seed has
+    only_added: bool,
     /// print the plan of each run
     plan: bool,
 }
@@ -64,6 +68,8 @@
             has_unanswered_calls: args.unanswered,
             has_key_changes: args.keys,
             has_synchronous_groups: args.synchronous,
+            has_session_ends: args.ends,
+            has_only_added: args.only_added,
             clients: args.callers,
             log_dir: log_dir.clone(),
         };
@@ -85,6 +91,21 @@
             count(&report.counters.broken_sessions),
             report.violations.len(),
         );
+        if let Some(ends) = &report.ends {
+            println!(
+                "  sessions: answered {}, ended without a request {}, exempt {:?}, logged {:?}, \
+                 violations {}",
+                ends.answered,
+                ends.ended_unasked,
+                ends.exempt,
+                ends.logged,
+                ends.violations.len(),
+            );
+        }
+        let ends = report.ends.unwrap_or_default();
+        for crossed in &ends.crossed {
+            println!("  crossed: {crossed}");
+        }
         if args.plan {
             for step in &report.plan.steps {
                 println!("  {step:?}");
@@ -98,6 +119,10 @@
         for violation in report.violations.iter().take(10) {
             println!("  {violation}");
         }
+        let list = log_dir.join("violations.txt");
+        if let Err(err) = std::fs::write(&list, report.violations.join("\n")) {
+            eprintln!("{}: {err}", list.display());
+        }
         println!("  logs: {}", log_dir.display());
         failed.push(seed);
     }
--- a/crates/persimmon-soak/src/fleet.rs
+++ b/crates/persimmon-soak/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The daemons of a run, and the injection and healing of faults.
 
+mod table;
+
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -12,7 +14,10 @@
 };
 use rustix::process::Signal;
 
-use crate::keys::{CHANGING_KEYS, KeyLedger};
+use crate::ends::crowd;
+use crate::ends::processes::Processes;
+use crate::ends::table::{EndTable, LIMITS};
+use crate::keys::KeyLedger;
 use crate::plan::{Fault, Step};
 
 /// Added delay of all traffic of a slow instance.
@@ -75,6 +80,10 @@
     /// The keys that come and go, and the number of clients with keys of their own; `None` where no
     /// client needs a key.
     keys: Option<(Arc<KeyLedger>, u64)>,
+    /// What the operators change while sessions are open; `None` where hosts have room for all sessions.
+    ends: Option<EndTable>,
+    /// What happened to the daemons' processes.
+    pub(crate) processes: Arc<Processes>,
     /// Client addresses of the running daemons, shared with the clients' threads.
     pub(crate) client_addresses: Arc<Mutex<Vec<SocketAddr>>>,
 }
@@ -90,18 +99,16 @@
 }
 
 impl Fleet {
-    /// Starts the daemons; with `keys`, the table has workspaces.
+    /// Starts the daemons; with `keys`, the table has workspaces, and with `ends` also those of the
+    /// clients whose sessions are ended.
     pub(crate) fn start(
         cluster: LineCluster,
         log_dir: PathBuf,
         daemons: u16,
         keys: Option<(Arc<KeyLedger>, u64)>,
+        ends: Option<EndTable>,
     ) -> io::Result<Self> {
         std::fs::create_dir_all(&log_dir)?;
-        if let Some((ledger, clients)) = &keys {
-            cluster.set_workspaces(ledger.workspaces(*clients));
-            cluster.put_table(FIRST_VERSION, &[]);
-        }
         let mut fleet = Self {
             cluster,
             log_dir,
@@ -115,8 +122,13 @@
             extra_databases: &[],
             copies: VecDeque::new(),
             keys,
+            ends,
+            processes: Arc::default(),
             client_addresses: Arc::default(),
         };
+        if fleet.keys.is_some() {
+            fleet.write_table();
+        }
         for index in 0..usize::from(daemons) {
             fleet.daemons.push(None);
             fleet.start_daemon(index)?;
@@ -128,7 +140,10 @@
         self.start_count += 1;
         let name = format!("d{index}");
         let seeds = &self.addresses[..self.addresses.len().min(3)];
-        let settings = self.cluster.settings(&name, self.addresses[index], seeds);
+        let mut settings = self.cluster.settings(&name, self.addresses[index], seeds);
+        if self.ends.is_some() {
+            settings.push_str(LIMITS);
+        }
         // Each process writes its own log, also after a restart.
         let log_dir = self.log_dir.join(format!("{}", self.start_count));
         std::fs::create_dir_all(&log_dir)?;
@@ -144,22 +159,53 @@
 
     fn restart_missing(&mut self) -> io::Result<()> {
         for index in 0..self.daemons.len() {
-            let has_exited = match &mut self.daemons[index] {
-                Some(daemon) => daemon.try_wait()?.is_some(),
-                None => true,
-            };
-            if has_exited {
+            if self.daemons[index].is_none() {
                 self.start_daemon(index)?;
             }
         }
+        self.restart_exited()
+    }
+
+    /// Whether sessions are ended for all reasons that daemons have.
+    pub(crate) fn has_session_ends(&self) -> bool {
+        self.ends.is_some()
+    }
+
+    /// Restarts the daemons that have exited, and records a violation if nobody asked one to.
+    pub(crate) fn restart_exited(&mut self) -> io::Result<()> {
+        for index in 0..self.daemons.len() {
+            let Some(daemon) = &mut self.daemons[index] else {
+                continue;
+            };
+            let Some(is_success) = daemon.try_wait()? else {
+                continue;
+            };
+            let was_stopped = self.processes.get(daemon.addresses.clients).stopped_at.is_some();
+            if !was_stopped || !is_success {
+                let violation = format!("d{index} ended by itself; stopping: {was_stopped}");
+                self.cluster.groups[0].0.record_violation(violation);
+            }
+            self.start_daemon(index)?;
+        }
         Ok(())
     }
 
+    /// Fills the room for sessions of a daemon.
+    fn gather_crowd(&self, step: &Step) {
+        if let Some(daemon) = self.daemon(step.target) {
+            let database = format!("p{}", step.target % self.cluster.groups.len());
+            crowd::gather(daemon.addresses.clients, database, step.lasts);
+        }
+    }
+
     fn daemon(&self, target: usize) -> Option<&Daemon> {
         self.daemons[target % self.daemons.len()].as_ref()
     }
 
     fn kill_daemon(&mut self, index: usize) {
+        if let Some(daemon) = &self.daemons[index] {
+            self.processes.record_kill(daemon.addresses.clients);
+        }
         self.daemons[index] = None;
         self.publish_client_addresses();
     }
@@ -215,7 +261,7 @@
             Fault::ChangeTable => {
                 self.table_version += 1 + u64::try_from(step.target % 5).unwrap_or(0);
                 self.extra_databases = &[EXTRA_DATABASE][..step.target % 2];
-                self.cluster.put_table(self.table_version, self.extra_databases);
+                self.write_table();
             }
             Fault::ChangeKey => self.change_key(step),
             Fault::RestoreStore => {
@@ -234,6 +280,10 @@
             }
             Fault::OrdersUnavailable => self.set_faults(|f| f.is_promotion_unavailable = true),
             Fault::ReplaceHost => self.kill_daemon(index),
+            Fault::Crowd => self.gather_crowd(step),
+            Fault::RemoveKeys | Fault::LowerQuota | Fault::ChangeLimits | Fault::GrowTable => {
+                self.change_ends(|ends| ends.begin(step));
+            }
             Fault::ReplaceInstance => return self.start_replacement(step),
             _ => return self.start_instance_fault(step),
         }
@@ -258,19 +308,6 @@
         self.cluster.groups[target.0].1[target.1].server.crash();
     }
 
-    /// Adds a client key to the table, or removes it.
-    fn change_key(&mut self, step: &Step) {
-        let Some((ledger, clients)) = &self.keys else {
-            return;
-        };
-        let key = CHANGING_KEYS[step.target % CHANGING_KEYS.len()];
-        ledger.toggle(key);
-        self.table_version += 1;
-        self.cluster.set_workspaces(ledger.workspaces(*clients));
-        self.cluster.put_table(self.table_version, self.extra_databases);
-        ledger.record_written(key);
-    }
-
     /// Lets all instances refuse the statements of one kind that change session state.
     fn refuse_state(&self, step: &Step) {
         let word = STATE_WORDS[step.target / 3 % STATE_WORDS.len()];
@@ -295,6 +332,13 @@
 
     fn signal(&self, step: &Step, signal: Signal) {
         if let Some(daemon) = self.daemon(step.target) {
+            let address = daemon.addresses.clients;
+            match signal {
+                Signal::TERM => self.processes.record_stop(address),
+                Signal::STOP => self.processes.record_pause(address),
+                Signal::CONT => self.processes.record_resumption(address),
+                _ => {}
+            }
             daemon.signal(signal);
         }
     }
@@ -341,7 +385,7 @@
             Fault::StoreBusy => self.set_faults(|f| f.is_unavailable = false),
             Fault::RestoreStore => {
                 self.set_faults(|f| f.is_unavailable = false);
-                self.cluster.put_table(self.table_version, self.extra_databases);
+                self.write_table();
                 self.cluster.beat();
             }
             Fault::OddEntry => self.cluster.store.remove("servers", &odd_entry_name(step)),
@@ -351,6 +395,9 @@
             Fault::StoreUnanswered => self.cluster.store_proxy.discard(false),
             Fault::RefuseState => self.accept_state(),
             Fault::OrdersUnavailable => self.set_faults(|f| f.is_promotion_unavailable = false),
+            Fault::RemoveKeys | Fault::LowerQuota | Fault::ChangeLimits | Fault::GrowTable => {
+                self.change_ends(|ends| ends.end(step));
+            }
             Fault::ReplaceHost => {
                 let index = step.target % self.daemons.len();
                 if self.daemons[index].is_none() {
@@ -394,7 +441,8 @@
     /// Ends all faults and restarts what has stopped.
     pub(crate) fn heal(&mut self) -> io::Result<()> {
         self.set_faults(|f| *f = StoreFaults::default());
-        self.cluster.put_table(self.table_version, self.extra_databases);
+        self.change_ends(|ends| *ends = EndTable::default());
+        self.write_table();
         self.cluster.store_proxy.partition(false);
         self.cluster.store_proxy.discard(false);
         self.accept_state();
@@ -416,6 +464,7 @@
         }
         self.refresh_directory();
         for daemon in self.daemons.iter().flatten() {
+            self.processes.record_resumption(daemon.addresses.clients);
             daemon.signal(Signal::CONT);
         }
         self.restart_missing()?;
--- a/crates/persimmon-soak/src/lib.rs
+++ b/crates/persimmon-soak/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod changes;
 mod clients;
+pub mod ends;
 mod fleet;
 mod keys;
 mod plan;
--- a/crates/persimmon-soak/src/plan.rs
+++ b/crates/persimmon-soak/src/plan.rs
@@ -68,6 +68,16 @@
     ReplaceInstance,
     /// A host is lost for good, and another one comes at another address.
     ReplaceHost,
+    /// A crowd fills the room for sessions of a daemon, and leaves.
+    Crowd,
+    /// Keys of sessions are removed, and later restored.
+    RemoveKeys,
+    /// The quota of a workspace is lowered, and later restored.
+    LowerQuota,
+    /// The time limits of statements and idle transactions change, and later change back.
+    ChangeLimits,
+    /// The table gets many routes, and later loses them.
+    GrowTable,
 }
 
 const FAULTS: [Fault; 20] = [
@@ -124,6 +134,25 @@
 const UNANSWERED: [Fault; 3] =
     [Fault::StoreUnanswered, Fault::InstanceUnanswered, Fault::RefuseState];
 
+/// The same for what ends sessions.
+const SESSION_END_STREAM: u64 = 0x5e_55e2d5;
+
+/// The planned work and the load beside which sessions end, the likelier ones more than once.
+const SESSION_ENDS: [Fault; 12] = [
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::Crowd,
+    Fault::RemoveKeys,
+    Fault::RemoveKeys,
+    Fault::LowerQuota,
+    Fault::ChangeLimits,
+    Fault::GrowTable,
+    Fault::HangUp,
+    Fault::StopDaemon,
+    Fault::StopDaemon,
+    Fault::PauseDaemon,
+];
+
 /// One fault of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -169,6 +198,12 @@
         Self { steps }
     }
 
+    /// A plan without faults, to which those of other streams are added.
+    #[must_use]
+    pub fn empty() -> Self {
+        Self { steps: Vec::new() }
+    }
+
     /// Adds restores of the store, some in quick succession; the other faults of the seed stay the
     /// same.
     #[must_use]
@@ -202,6 +237,34 @@
         self.with_stream(&[Fault::ChangeKey], seed ^ KEY_STREAM, length)
     }
 
+    /// Adds what ends sessions, alone, in series over consecutive targets, and beside a pause of the same
+    /// daemon; the other faults of the seed stay the same.
+    #[must_use]
+    pub fn with_session_ends(mut self, seed: u64, length: Duration) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed ^ SESSION_END_STREAM);
+        let mut at = Duration::from_millis(rng.random_range(800..2_500));
+        while at + Duration::from_millis(500) < length {
+            let fault = SESSION_ENDS[rng.random_range(0..SESSION_ENDS.len())];
+            let first = rng.random_range(0..1_000);
+            let series = if rng.random_bool(0.3) { rng.random_range(2..4) } else { 1 };
+            let is_paused = rng.random_bool(0.4);
+            for number in 0..series {
+                let target = first + number;
+                let lasts = Duration::from_millis(rng.random_range(300..2_500));
+                self.steps.push(Step { at, lasts, fault, target });
+                if is_paused {
+                    let lasts = Duration::from_millis(rng.random_range(200..1_300));
+                    let at = at.saturating_sub(Duration::from_millis(rng.random_range(0..80)));
+                    self.steps.push(Step { at, lasts, fault: Fault::PauseDaemon, target });
+                }
+                at += Duration::from_millis(rng.random_range(50..500));
+            }
+            at += Duration::from_millis(rng.random_range(100..900));
+        }
+        self.steps.sort_by_key(|s| s.at);
+        self
+    }
+
     /// Adds faults of some kinds from a stream of random numbers of their own.
     fn with_stream(mut self, faults: &[Fault], stream_seed: u64, length: Duration) -> Self {
         let mut rng = SmallRng::seed_from_u64(stream_seed);
--- a/crates/persimmon-soak/src/run.rs
+++ b/crates/persimmon-soak/src/run.rs
@@ -9,6 +9,10 @@
 use persimmon_lab::line_cluster::{InstanceProfile, LineClient, LineCluster};
 
 use crate::clients::{Client, OutcomeCounters};
+use crate::ends::clients::{END_CLIENTS, EndClient};
+use crate::ends::processes::EndRecord;
+use crate::ends::table::EndTable;
+use crate::ends::{EndReport, logs};
 use crate::fleet::{EXTRA_DATABASE, Fleet};
 use crate::keys::{KeyClient, KeyLedger, TABLE_LIMIT, serves_held_keys};
 use crate::plan::{Plan, Step};
@@ -25,6 +29,12 @@
 /// How long these clients check in calm, beyond the limit of a change.
 const CALM: Duration = Duration::from_secs(1);
 
+/// The bounds of quotas: the window, the part of a quota by which it may be exceeded, and a number of
+/// statements.
+const QUOTA_WINDOW: Duration = Duration::from_secs(3);
+const QUOTA_OVERAGE: f64 = 0.1;
+const QUOTA_SLACK: f64 = 20.0;
+
 /// Interval between checks for due faults and for awaited conditions.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -52,6 +62,11 @@
     pub has_key_changes: bool,
     /// Whether a commit waits for one replica, and instances and hosts are replaced.
     pub has_synchronous_groups: bool,
+    /// Whether hosts have room for few sessions, and these are ended for all reasons that daemons have.
+    pub has_session_ends: bool,
+    /// Whether the plan is without the faults that every seed has, so that it consists of those that are
+    /// added.
+    pub has_only_added: bool,
     /// The number of clients.
     pub clients: u64,
     /// The directory of the daemons' logs.
@@ -67,6 +82,8 @@
     pub violations: Vec<String>,
     /// The outcomes reported to clients.
     pub counters: Arc<OutcomeCounters>,
+    /// The ends of sessions, if they are part of the plan; their violations are among those of the run.
+    pub ends: Option<EndReport>,
 }
 
 /// Runs one seed.
@@ -75,7 +92,11 @@
 ///
 /// Returns an error if a process or a fake cannot be started.
 pub fn run(options: &Options) -> io::Result<Report> {
-    let mut plan = Plan::new(options.seed, options.length);
+    let mut plan = if options.has_only_added {
+        Plan::empty()
+    } else {
+        Plan::new(options.seed, options.length)
+    };
     if options.has_restores {
         plan = plan.with_restores(options.seed, options.length);
     }
@@ -95,11 +116,19 @@
         plan = plan.with_key_changes(options.seed, options.length);
         ledger = Some(Arc::new(KeyLedger::new()));
     }
-    let cluster = LineCluster::start(options.groups, 3, profile)?
+    let mut cluster = LineCluster::start(options.groups, 3, profile)?
         .with_max_connections(options.max_connections)
         .without_drain_check();
+    let mut end_table = None;
+    if options.has_session_ends {
+        plan = plan.with_session_ends(options.seed, options.length);
+        ledger = ledger.or_else(|| Some(Arc::new(KeyLedger::new())));
+        end_table = Some(EndTable::default());
+        cluster = cluster.with_quota_bounds(QUOTA_WINDOW.as_secs_f64(), QUOTA_OVERAGE, QUOTA_SLACK);
+    }
     let keys = ledger.clone().map(|ledger| (ledger, options.clients));
-    let mut fleet = Fleet::start(cluster, options.log_dir.clone(), options.daemons, keys)?;
+    let mut fleet =
+        Fleet::start(cluster, options.log_dir.clone(), options.daemons, keys, end_table)?;
     let mut violations = Vec::new();
     if !wait(RECOVERY_LIMIT, || fleet.is_ready()) {
         violations.push("the daemons are not ready at the start".to_owned());
@@ -116,7 +145,7 @@
         threads.push(std::thread::spawn(move || client.run(&stop)));
     }
     for index in 0..KEY_CLIENTS {
-        let Some(ledger) = ledger.clone() else {
+        let Some(ledger) = ledger.clone().filter(|_| options.has_key_changes) else {
             break;
         };
         let client_addresses = Arc::clone(&fleet.client_addresses);
@@ -125,6 +154,17 @@
         let stop = Arc::clone(&stop);
         threads.push(std::thread::spawn(move || client.run(&stop)));
     }
+    let end_record = Arc::new(EndRecord::default());
+    for index in 0..END_CLIENTS {
+        if !options.has_session_ends {
+            break;
+        }
+        let addresses = Arc::clone(&fleet.client_addresses);
+        let record = Arc::clone(&end_record);
+        let client = EndClient::new(index, options.seed, options.groups, addresses, record);
+        let stop = Arc::clone(&stop);
+        threads.push(std::thread::spawn(move || client.run(&stop)));
+    }
     run_plan(&mut fleet, &plan, options.length)?;
     fleet.heal()?;
     let healed = Instant::now();
@@ -137,8 +177,10 @@
             violations
                 .push(format!("a daemon serves other keys {:?} after healing", healed.elapsed()));
         }
-        // The clients check in calm that this stays so.
-        std::thread::sleep(TABLE_LIMIT + CALM);
+        if options.has_key_changes {
+            // The clients check in calm that this stays so.
+            std::thread::sleep(TABLE_LIMIT + CALM);
+        }
     }
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
@@ -147,7 +189,13 @@
         }
     }
     violations.extend(fleet.cluster.violations());
-    Ok(Report { plan, violations, counters })
+    let mut ends = None;
+    if options.has_session_ends {
+        let report = end_record.report(&fleet.processes, &groups, logs::read(&options.log_dir)?);
+        violations.extend(report.violations.iter().cloned());
+        ends = Some(report);
+    }
+    Ok(Report { plan, violations, counters, ends })
 }
 
 fn wait(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
@@ -183,6 +231,9 @@
         }
         if now >= refresh_at {
             refresh_at = now + DIRECTORY_REFRESH_INTERVAL;
+            if fleet.has_session_ends() {
+                fleet.restart_exited()?;
+            }
             let is_draining =
                 active.iter().any(|(step, _)| step.fault == crate::plan::Fault::DrainPrimary);
             if !is_draining {
--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -26,6 +26,7 @@
     UnansweredCalls,
     KeyChanges,
     Synchronous,
+    SessionEnds,
 }
 
 fn check(seed: u64, length: Duration, max_connections: usize, added: Added) {
@@ -42,6 +43,8 @@
         has_unanswered_calls: added == Added::UnansweredCalls,
         has_key_changes: added == Added::KeyChanges,
         has_synchronous_groups: added == Added::Synchronous,
+        has_session_ends: added == Added::SessionEnds,
+        has_only_added: added == Added::SessionEnds,
         clients: 6,
         log_dir: std::env::temp_dir().join(name),
     };
@@ -111,4 +114,8 @@
     let is_other = |step: &&Step| step.fault != Fault::RestoreStore;
     let others: Vec<Step> = restores.steps.iter().filter(is_other).copied().collect();
     assert_eq!(others, Plan::new(7, length).steps);
+    let ends = Plan::empty().with_session_ends(7, length);
+    let mut both = Plan::new(7, length).with_session_ends(7, length).steps;
+    both.retain(|step| !ends.steps.contains(step));
+    assert_eq!(both, Plan::new(7, length).steps);
 }
