End only the connection of a daemon whose deadline is too far

What callers would see: all sessions of a host end at once. A message of another daemon with a deadline that no instant can hold panics in the RPC library, and a release build ends with any panic. Cause: the library adds the remaining time to an instant without a check; its timers have a limit too. That the deadline came from a route's own timeout of more than two years was not tried. It reads from the frame itself in place of a reader.

--- a/crates/persimmon-proxy/src/control/peers.rs
+++ b/crates/persimmon-proxy/src/control/peers.rs
@@ -17,7 +17,6 @@
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Json;
 use tarpc::{context, serde_transport};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -27,6 +26,7 @@
 use crate::control::Control;
 use crate::directory::{Directory, EntryVersion};
 use crate::drain_notices::DrainNotice;
+use crate::peer_json::PeerJson;
 use crate::peer_list::PeerList;
 use crate::peer_service::{
     DaemonState, EntryOrigin, FRAME_LIMIT, Introduction, PeerError, PeerService, SharedSample,
@@ -226,7 +226,7 @@
     };
     ntex::rt::spawn(answer_probes(Rc::clone(control), probe_requests));
     tokio::spawn(async move {
-        let incoming = serde_transport::tcp::listen_on(listener, Json::default).await;
+        let incoming = serde_transport::tcp::listen_on(listener, PeerJson::default).await;
         let mut incoming = match incoming {
             Ok(incoming) => incoming,
             Err(err) => {
--- a/crates/persimmon-proxy/src/forwarding/frame.rs
+++ b/crates/persimmon-proxy/src/forwarding/frame.rs
@@ -18,7 +18,6 @@
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde;
-use tarpc::tokio_serde::formats::Json;
 use tarpc::tokio_util::codec::{Decoder, Encoder, Framed, LengthDelimitedCodec};
 use tarpc::tokio_util::sync::PollSemaphore;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -26,6 +25,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Sleep;
 
+use crate::peer_json::PeerJson;
 use crate::socket;
 
 /// Maximum message size in bytes: a client's message and its answer, each at most 1 MiB, with what
@@ -185,7 +185,7 @@
 
 /// A connection between two daemons, framed for messages in each direction.
 pub(crate) type FramedConnection<In, Out> =
-    tokio_serde::Framed<Framed<FrameStream, FrameCodec>, In, Out, Json<In, Out>>;
+    tokio_serde::Framed<Framed<FrameStream, FrameCodec>, In, Out, PeerJson<In, Out>>;
 
 /// Frames a connection for messages; with `room`, large ones are received as far as there is room.
 ///
@@ -206,5 +206,5 @@
     let codec = FrameCodec { inner, incoming: Rc::clone(&incoming), has_sent_large: false };
     let room = room.map(|room| (room.units, PollSemaphore::new(Arc::clone(&room.semaphore))));
     let stream = FrameStream { stream, incoming, room, timeout: None };
-    Ok(tokio_serde::Framed::new(Framed::new(stream, codec), Json::default()))
+    Ok(tokio_serde::Framed::new(Framed::new(stream, codec), PeerJson::default()))
 }
--- a/crates/persimmon-proxy/src/forwarding/link.rs
+++ b/crates/persimmon-proxy/src/forwarding/link.rs
@@ -19,6 +19,7 @@
 use crate::forwarding::frame::frame;
 use crate::forwarding::service::{ForwardServiceClient, Refusal};
 use crate::metrics::Metrics;
+use crate::peer_json::MAX_CALL_TIME;
 use crate::statement_job::StatementJob;
 
 /// How long a daemon may take to accept a connection: several round trips between failure domains.
@@ -268,7 +269,7 @@
 
 fn context_until(left: Duration) -> Context {
     let mut cx = context::current();
-    cx.deadline = Instant::now() + left;
+    cx.deadline = Instant::now() + left.min(MAX_CALL_TIME);
     cx
 }
 
--- a/crates/persimmon-proxy/src/lib.rs
+++ b/crates/persimmon-proxy/src/lib.rs
@@ -28,6 +28,7 @@
 mod logging;
 mod memory_budget;
 mod metrics;
+mod peer_json;
 mod peer_list;
 mod peer_service;
 mod pool;
--- a/crates/persimmon-proxy/src/peer_service.rs
+++ b/crates/persimmon-proxy/src/peer_service.rs
@@ -8,12 +8,12 @@
 use persimmon_interfaces::{Instance, Table};
 use persimmon_types::{Position, Time};
 use serde::{Deserialize, Serialize};
-use tarpc::tokio_serde::formats::Json;
 use tarpc::{client, serde_transport};
 use thiserror::Error;
 
 use crate::drain_notices::DrainNotice;
 use crate::metrics::Metrics;
+use crate::peer_json::PeerJson;
 use crate::relay::{RelayReply, RelayedKind, WireRevision};
 use crate::wire_member::{WireMember, WireMembers};
 
@@ -148,7 +148,7 @@
 /// Connects to a peer.
 pub(crate) async fn connect(metrics: &Metrics, peer: SocketAddr) -> io::Result<PeerServiceClient> {
     Metrics::increment(&metrics.peer_connections);
-    let mut connecting = serde_transport::tcp::connect(peer, Json::default);
+    let mut connecting = serde_transport::tcp::connect(peer, PeerJson::default);
     connecting.config_mut().max_frame_length(FRAME_LIMIT);
     let transport = connecting.await?;
     Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
--- a/crates/persimmond/tests/forwarding.rs
+++ b/crates/persimmond/tests/forwarding.rs
@@ -160,6 +160,32 @@
     setup.assert_no_violations();
 }
 
+/// Guards against a deadline that no instant can hold, with which a release build would end.
+#[test]
+fn unreachable_deadline_on_a_port_for_daemons_ends_only_its_connection() {
+    use std::io::{Read, Write};
+    use std::net::{SocketAddr, TcpStream};
+    let (setup, owner) = setup_with_owner("hop-deadline");
+    let peers = setup.daemons[owner].addresses.peers;
+    let forwarding = SocketAddr::new(peers.ip(), peers.port() + 1);
+    let request = br#"{"Request":{"context":{"deadline":{"secs":18446744073709551615,"nanos":0},"trace_context":{"trace_id":[0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0],"span_id":0,"sampling_decision":"Unsampled"}},"id":0,"message":{"Ping":{}}}}"#;
+
+    for port in [forwarding, peers] {
+        let mut stream = TcpStream::connect(port).expect("the port accepts connections");
+        let length = u32::try_from(request.len()).expect("a short message");
+        stream.write_all(&length.to_be_bytes()).expect("the length is sent");
+        stream.write_all(request).expect("the request is sent");
+        stream.set_read_timeout(Some(CONDITION_TIMEOUT)).expect("the timeout is set");
+        let closed = stream.read(&mut [0; 64]);
+
+        assert!(closed.is_ok_and(|count| count == 0), "{port}");
+    }
+    assert!(!setup.has_logged(owner, |line| line["message"] == "panicked"));
+    let mut client = setup.client(other_than(owner), "p0", "c");
+    assert!(client.query("WRITE item v").expect("a response").result.is_ok());
+    setup.assert_no_violations();
+}
+
 #[test]
 fn table_reaches_all_daemons_while_the_store_is_silent_to_a_third_of_them() {
     use persimmon_lab::fault_proxy::FaultProxy;
