A short seeded run of the ends of sessions in the tests of the soak

Change: seed 173 for ten seconds with three daemons, without the faults of every seed; a test holds that its plan has every kind of change that ends sessions.

--- a/crates/persimmon-soak/tests/seeds.rs
+++ b/crates/persimmon-soak/tests/seeds.rs
@@ -11,6 +11,12 @@
 /// A seed whose plan covers crashes, partitions and an unavailable store.
 const SHORT_RUN_SEED: u64 = 2;
 
+/// A seed whose plan of ten seconds covers every kind of change that ends sessions.
+const SESSION_END_SEED: u64 = 173;
+
+/// The length of that plan.
+const SESSION_END_LENGTH: Duration = Duration::from_secs(10);
+
 /// A connection limit at which every daemon connects to the instances.
 const MANY_CONNECTIONS: usize = 60;
 
@@ -96,6 +102,29 @@
     check(SHORT_RUN_SEED, Duration::from_secs(12), MANY_CONNECTIONS, Added::Synchronous);
 }
 
+#[test]
+fn a_short_run_answers_every_request_of_sessions_that_daemons_end() {
+    check(SESSION_END_SEED, SESSION_END_LENGTH, MANY_CONNECTIONS, Added::SessionEnds);
+}
+
+#[test]
+fn the_plan_of_session_ends_covers_every_change() {
+    let plan = Plan::empty().with_session_ends(SESSION_END_SEED, SESSION_END_LENGTH);
+
+    for fault in [
+        Fault::Crowd,
+        Fault::RemoveKeys,
+        Fault::LowerQuota,
+        Fault::ChangeLimits,
+        Fault::GrowTable,
+        Fault::HangUp,
+        Fault::StopDaemon,
+        Fault::PauseDaemon,
+    ] {
+        assert!(plan.steps.iter().any(|step| step.fault == fault), "{fault:?}");
+    }
+}
+
 #[test]
 fn regression_seeds_keep_the_guarantees() {
     for seed in REGRESSION_SEEDS {
