Ask the socket before a session with unread answers is closed for room

What callers saw: a connection that ended in the middle of answers that were being read, on a full host that had stood still. Cause: the time in which the host was paused counted as the client's, and nothing was written before the close; a session was taken for one whose client does not read. Change: what the socket takes is sent first; if that is anything, the session keeps its place, and its time begins anew.

--- a/crates/persimmon-proxy/src/client_connection.rs
+++ b/crates/persimmon-proxy/src/client_connection.rs
@@ -146,7 +146,7 @@
             return;
         }
         self.output.borrow_mut().extend_from_slice(bytes);
-        self.write();
+        self.write(|stream, bytes| stream.try_write(bytes));
     }
 
     /// Sends answers for as long as the future is polled; it never ends.
@@ -176,10 +176,18 @@
             if !is_ready {
                 return Poll::Pending;
             }
-            self.write();
+            self.write(|stream, bytes| stream.try_write(bytes));
         }
     }
 
+    /// Sends what the socket takes; returns whether that was anything.
+    pub(crate) fn sends_more(&self) -> bool {
+        let before = self.unsent();
+        // The runtime may not have noticed yet that the client has read.
+        self.write(|stream, bytes| SockRef::from(stream).send(bytes));
+        self.unsent() < before
+    }
+
     /// Whether a whole message has arrived, or bytes that are no message; reads what the socket has.
     fn has_message(&self) -> bool {
         while !self.holds_message() {
@@ -270,11 +278,11 @@
     }
 
     /// Writes what the socket takes.
-    fn write(&self) {
+    fn write(&self, write: impl Fn(&TcpStream, &[u8]) -> io::Result<usize>) {
         let mut output = self.output.borrow_mut();
         while !output.is_empty() {
             let written = match &*self.stream.borrow() {
-                Some(stream) => stream.try_write(&output),
+                Some(stream) => write(stream, &output),
                 None => return,
             };
             match written {
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -171,8 +171,8 @@
         self.entries.borrow().values().map(|entry| entry.view()).collect()
     }
 
-    /// Closes the connection of a session that waits for its client, unless a message has arrived that
-    /// the session has not noticed yet; returns whether it is closed.
+    /// Closes the connection of a session that waits for its client, unless a message has arrived, or
+    /// answers can be sent, that the session has not noticed yet; returns whether it is closed.
     pub(crate) fn try_close(
         &self,
         session: SessionView,
@@ -183,6 +183,11 @@
             return true;
         };
         if session.phase == Phase::Unread {
+            // Time in which the host stood still is not the client's.
+            if reason == EndReason::NoRoom && entry.connection.sends_more() {
+                entry.since.set(Clock.now());
+                return false;
+            }
             // Its client would not read the answers to further messages.
             entry.connection.abort();
         } else if !entry.connection.try_close() {
