Share the encoded table between the daemons that receive it

What callers see: a daemon that exceeds its host's memory ends, with every request in flight. Cause: a watcher copied the decoded JSON tree of the table for each receiver, and a change wakes all of them at once. Change: objects hold their values in the encoded form, which copies share. The messages stay the same.

--- a/crates/persimmon-interfaces/src/lib.rs
+++ b/crates/persimmon-interfaces/src/lib.rs
@@ -8,6 +8,7 @@
 //! - Messages are decoded once, by an adapter, into the types of this crate.
 //! - An adapter only translates: it keeps no state beyond a connection and makes no decisions.
 
+mod encoded_value;
 mod promote;
 mod protocol;
 mod revision;
@@ -15,6 +16,7 @@
 mod store;
 mod topology;
 
+pub use encoded_value::EncodedValue;
 pub use promote::{PromoteError, PromotionAuthority, PromotionRequest};
 pub use protocol::{
     ClientMessage, ClientProtocol, Command, ErrorCode, InstanceProtocol, InstanceStatus,
--- a/crates/persimmon-interfaces/src/store.rs
+++ b/crates/persimmon-interfaces/src/store.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::encoded_value::EncodedValue;
 use crate::revision::Revision;
 
 /// The kinds of objects that the proxy uses.
@@ -35,7 +36,7 @@
     /// The store's revision at the object's last change, in the era of the answer that contained it.
     pub revision: Revision,
     /// The object's value.
-    pub value: Value,
+    pub value: EncodedValue,
 }
 
 /// All objects of a kind at one revision.
--- a/crates/persimmon-ownership/tests/change_feed.rs
+++ b/crates/persimmon-ownership/tests/change_feed.rs
@@ -12,7 +12,7 @@
 }
 
 fn object(name: &str, revision: u64) -> Object {
-    Object { name: Arc::from(name), revision: at(revision), value: serde_json::Value::Null }
+    Object { name: Arc::from(name), revision: at(revision), value: serde_json::Value::Null.into() }
 }
 
 fn written(name: &str, revision: u64) -> Change {
--- a/crates/persimmon-proxy/src/control/fleet.rs
+++ b/crates/persimmon-proxy/src/control/fleet.rs
@@ -7,10 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use persimmon_interfaces::{ObjectKind, ReadResult, StoreError};
+use persimmon_interfaces::{EncodedValue, ObjectKind, ReadResult, StoreError};
 use persimmon_types::Clock;
 use persimmon_workspace::quota::{FleetRecord, RecordChange};
-use serde::Deserialize;
 
 use crate::control::Control;
 use crate::control::backoff::Backoff;
@@ -108,8 +107,8 @@
     Ok(record)
 }
 
-fn parse(value: &serde_json::Value) -> Result<FleetRecord, StoreError> {
-    let record = FleetRecord::deserialize(value);
+fn parse(value: &EncodedValue) -> Result<FleetRecord, StoreError> {
+    let record = value.decode();
     // A record that cannot be read is not replaced, because daemons may rely on it.
     let record =
         record.map_err(|err| StoreError::Refused(format!("the record cannot be read: {err}")))?;
--- a/crates/persimmon-proxy/src/control/promotion_lock.rs
+++ b/crates/persimmon-proxy/src/control/promotion_lock.rs
@@ -6,7 +6,6 @@
 use persimmon_interfaces::{Object, ObjectKind, ReadResult, StoreError};
 use persimmon_promotion::{Input, PromotionLockRecord};
 use persimmon_types::Clock;
-use serde::Deserialize;
 
 use crate::control::Control;
 use crate::control::promotion::RunningCoordinator;
@@ -18,7 +17,9 @@
 /// The record of an object that was read in the store's era `era`; `None` if no daemon can have
 /// written it.
 fn parse_lock_record(object: &Object, era: u64) -> Option<PromotionLockRecord> {
-    let record = PromotionLockRecord::deserialize(&object.value)
+    let record: PromotionLockRecord = object
+        .value
+        .decode()
         .inspect_err(|err| tracing::warn!(name = %object.name, error = %err, "bad lock record"))
         .ok()?;
     if record.era() > era {
--- a/crates/persimmon-proxy/src/relay.rs
+++ b/crates/persimmon-proxy/src/relay.rs
@@ -7,11 +7,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use persimmon_interfaces::{Change, Changes, Listing, Object, ObjectKind, Revision};
+use persimmon_interfaces::{Change, Changes, EncodedValue, Listing, Object, ObjectKind, Revision};
 use persimmon_ownership::{ChangeFeed, Since};
 use persimmon_types::{Clock, Time};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use tokio::sync::Notify;
 
 /// How long a caller waits for changes: a fraction of the time within which a change of the table
@@ -82,7 +81,7 @@
 struct WireObject {
     name: Arc<str>,
     revision: WireRevision,
-    value: Value,
+    value: EncodedValue,
 }
 
 impl From<&Object> for WireObject {
--- a/crates/persimmon-proxy/tests/directory.rs
+++ b/crates/persimmon-proxy/tests/directory.rs
@@ -9,7 +9,6 @@
 };
 use persimmon_proxy::{Directory, DrainNotice, EntryVersion, RoutingSnapshot};
 use persimmon_types::Time;
-use serde::Deserialize;
 
 const SERVICE: &str = "orders";
 
@@ -27,11 +26,10 @@
     }
 
     fn decode_instance(&self, object: &Object) -> Result<InstanceReport, DecodeError> {
-        let (instance, sequence) =
-            <(Instance, u64)>::deserialize(&object.value).map_err(|err| DecodeError {
-                name: Arc::clone(&object.name),
-                problem: err.to_string(),
-            })?;
+        let (instance, sequence) = object.value.decode().map_err(|err| DecodeError {
+            name: Arc::clone(&object.name),
+            problem: err.to_string(),
+        })?;
         Ok(InstanceReport { instance, sequence })
     }
 }
@@ -46,7 +44,7 @@
 
 fn report(revision: Revision, instance: Instance, sequence: u64) -> Object {
     let name = Arc::clone(&instance.id);
-    let value = serde_json::to_value((instance, sequence)).expect("an entry");
+    let value = serde_json::to_value((instance, sequence)).expect("an entry").into();
     Object { name, revision, value }
 }
 
