Drop unsent answers with their connection, and do not copy large ones

What callers would have seen: a daemon over the memory of its host, which ends with every request in flight. Cause: a connection that was closed kept its unsent answer until the session's next turn, and an answer was copied into the output beside the one that was encoded.

--- a/crates/persimmon-proxy/src/client_connection.rs
+++ b/crates/persimmon-proxy/src/client_connection.rs
@@ -43,6 +43,8 @@
     failure: Cell<Option<io::ErrorKind>>,
     /// Answers that came after the end of the connection.
     late_answers: Cell<u64>,
+    /// Bytes of answers that were not sent when it ended.
+    dropped: Cell<usize>,
     /// The task that waits for the client.
     waiter: RefCell<Option<Waker>>,
 }
@@ -58,6 +60,7 @@
             is_input_over: Cell::new(false),
             failure: Cell::new(None),
             late_answers: Cell::new(0),
+            dropped: Cell::new(0),
             waiter: RefCell::default(),
         }
     }
@@ -77,6 +80,11 @@
         !self.input.borrow().is_empty()
     }
 
+    /// Bytes of answers that were not sent when the connection ended.
+    pub(crate) fn dropped(&self) -> usize {
+        self.dropped.get()
+    }
+
     /// Bytes of answers that the client's side has not taken yet.
     pub(crate) fn unsent(&self) -> usize {
         self.output.borrow().len()
@@ -138,14 +146,22 @@
         Ok(message)
     }
 
-    /// Sends bytes, as far as the client's side takes them now; the rest is sent by [`Self::receive`] and
-    /// [`Self::flush`].
-    pub(crate) fn send(&self, bytes: &[u8]) {
+    /// Sends an answer, as far as the client's side takes it now; the rest is sent by [`Self::receive`]
+    /// and [`Self::flush`].
+    pub(crate) fn send(&self, answer: BytesMut) {
         if self.is_closed() {
             self.late_answers.set(self.late_answers.get() + 1);
             return;
         }
-        self.output.borrow_mut().extend_from_slice(bytes);
+        {
+            let mut output = self.output.borrow_mut();
+            if output.is_empty() {
+                // A large answer is not copied.
+                *output = answer;
+            } else {
+                output.extend_from_slice(&answer);
+            }
+        }
         self.write(|stream, bytes| stream.try_write(bytes));
     }
 
@@ -222,10 +238,17 @@
 
     /// Closes the connection whatever has arrived.
     pub(crate) fn abort(&self) {
-        drop(self.stream.take());
+        self.drop_stream();
         self.wake();
     }
 
+    /// Drops the connection and what is left to be sent, whose memory others may need before the session
+    /// has noticed.
+    fn drop_stream(&self) {
+        drop(self.stream.take());
+        self.dropped.set(self.dropped.get() + self.output.take().len());
+    }
+
     fn wake(&self) {
         let waiter = self.waiter.take();
         if let Some(waiter) = waiter {
@@ -235,7 +258,7 @@
 
     /// The number of answers that were not sent as a whole.
     pub(crate) fn unsent_answers(&self) -> u64 {
-        self.late_answers.get() + u64::from(self.unsent() > 0)
+        self.late_answers.get() + u64::from(self.dropped.get() > 0)
     }
 
     /// The number of requests that were received and not handled, which are dropped.
@@ -274,27 +297,35 @@
 
     fn fail(&self, err: &io::Error) {
         self.failure.set(Some(err.kind()));
-        drop(self.stream.take());
+        self.drop_stream();
     }
 
     /// Writes what the socket takes.
     fn write(&self, write: impl Fn(&TcpStream, &[u8]) -> io::Result<usize>) {
-        let mut output = self.output.borrow_mut();
-        while !output.is_empty() {
-            let written = match &*self.stream.borrow() {
-                Some(stream) => write(stream, &output),
-                None => return,
-            };
-            match written {
-                Ok(count) => drop(output.split_to(count)),
-                Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
-                Err(err) => {
-                    self.fail(&err);
+        let mut failure = None;
+        {
+            let stream = self.stream.borrow();
+            let mut output = self.output.borrow_mut();
+            while !output.is_empty() {
+                let Some(stream) = &*stream else {
                     return;
+                };
+                match write(stream, &output) {
+                    Ok(count) => drop(output.split_to(count)),
+                    Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
+                    Err(err) => {
+                        failure = Some(err);
+                        break;
+                    }
                 }
             }
+            if output.is_empty() {
+                // A large answer does not keep its buffer.
+                *output = BytesMut::new();
+            }
+        }
+        if let Some(err) = failure {
+            self.fail(&err);
         }
-        // A large answer does not keep its buffer.
-        *output = BytesMut::new();
     }
 }
--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -178,11 +178,13 @@
     }
 
     fn send(&self, replies: &[Reply]) {
-        let mut buf = BytesMut::with_capacity(256);
+        let rows =
+            replies.iter().map(|reply| if let Reply::Row(row) = reply { row.len() } else { 0 });
+        let mut buf = BytesMut::with_capacity(rows.sum::<usize>() + 32 * replies.len() + 128);
         for reply in replies {
             self.codec.protocol.encode(reply, &mut buf);
         }
-        self.connection.send(&buf);
+        self.connection.send(buf);
     }
 
     async fn wake(&mut self) -> Wake {
--- a/crates/persimmon-proxy/src/session/ending.rs
+++ b/crates/persimmon-proxy/src/session/ending.rs
@@ -73,7 +73,7 @@
         };
         let mut buf = BytesMut::new();
         codec.protocol.encode(&reply, &mut buf);
-        connection.send(&buf);
+        connection.send(buf);
         return Err(EndReason::ProtocolViolation);
     }
 }
@@ -112,7 +112,7 @@
     }
     if worker.log.should_log(true) {
         tracing::warn!(reason = ?entry.end(), ?failure, phase = ?entry.phase(), requests, answers,
-            unsent = connection.unsent(), "a connection ended before its requests were answered");
+            unsent = connection.dropped(), "a connection ended before its requests were answered");
     }
 }
 
