Soak: unread answers of clients that have not left are violations

Cause: a slow reader whose connection ended was exempt from one second on, as a daemon short of room may close it. Change: a logged cut with reason ClientLeft in phase Unread is a violation.

--- a/crates/persimmon-soak/src/ends/clients.rs
+++ b/crates/persimmon-soak/src/ends/clients.rs
@@ -306,8 +306,8 @@
             session.send(&format!("READ {item}"))?;
         }
         let is_slow = self.rng.random_bool(0.3);
-        let limit = u64::try_from(UNREAD_LIMIT.as_millis()).unwrap_or(u64::MAX);
-        let pause = if is_slow { self.millis(limit..limit * 3) } else { self.millis(0..600) };
+        let pause = self.millis(0..if is_slow { 300 } else { 600 });
+        let pause = if is_slow { UNREAD_LIMIT + pause } else { pause };
         session.leave_unread(pause);
         for _ in 0..UNREAD_ANSWERS {
             session.receive()?;
--- a/crates/persimmon-soak/src/ends/logs.rs
+++ b/crates/persimmon-soak/src/ends/logs.rs
@@ -18,6 +18,9 @@
 const OWN_REASONS: [&str; 5] =
     ["NoRoom", "HalfMessage", "StartupTimeout", "KeyRevoked", "Shutdown"];
 
+/// The reason of a session whose client has closed its connection.
+const CLIENT_LEFT: &str = "ClientLeft";
+
 /// The phase of a session whose client does not read.
 const UNREAD_PHASE: &str = "Unread";
 
@@ -53,10 +56,13 @@
     }
 
     /// Whether the daemon owed an answer: it ended the session for a reason of its own, and the client
-    /// was reading.
+    /// was reading; or it takes a client for gone that has yet to read, which none of the soak's is.
     #[must_use]
     pub fn is_violation(&self) -> bool {
-        OWN_REASONS.contains(&self.reason.as_str()) && self.phase != UNREAD_PHASE
+        if self.phase == UNREAD_PHASE {
+            return self.reason == CLIENT_LEFT;
+        }
+        OWN_REASONS.contains(&self.reason.as_str())
     }
 }
 
--- a/crates/persimmon-soak/tests/ends.rs
+++ b/crates/persimmon-soak/tests/ends.rs
@@ -121,6 +121,7 @@
     assert!(line("Shutdown", "Idle").is_violation());
     assert!(!line("NoRoom", "Unread").is_violation());
     assert!(!line("ClientLeft", "Idle").is_violation());
+    assert!(line("ClientLeft", "Unread").is_violation());
     assert_eq!(line("NoRoom", "Idle").count, 2);
     assert_eq!(LoggedCut::parse("{\"message\": \"session closed\"}"), None);
 }
