--- a/crates/persimmon-proxy/src/session/ending.rs
+++ b/crates/persimmon-proxy/src/session/ending.rs
@@ -104,7 +104,7 @@
     }
     let failure = connection.failure();
     let has_left = matches!(failure, Some(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe));
-    if has_left && entry.end() == Some(EndReason::ClientLeft) {
+    if has_left {
         Metrics::add(&worker.metrics.answers_abandoned, answers);
     } else {
         Metrics::add(&worker.metrics.requests_cut, requests);
--- a/crates/persimmon-soak/src/ends/logs.rs
+++ b/crates/persimmon-soak/src/ends/logs.rs
@@ -15,8 +15,7 @@
 
 /// Reasons of a daemon's own to end a session; each has to wait until every request that has arrived is
 /// answered.
-const OWN_REASONS: [&str; 5] =
-    ["NoRoom", "HalfMessage", "StartupTimeout", "KeyRevoked", "Shutdown"];
+const OWN_REASONS: [&str; 4] = ["NoRoom", "HalfMessage", "StartupTimeout", "Shutdown"];
 
 /// The reason of a session whose client has closed its connection.
 const CLIENT_LEFT: &str = "ClientLeft";
