Close sessions of a shutdown after a rest only, and keep refusing a key that an owner refused

What callers saw: a reset connection under a request that followed at once on an answer, where the client had paused before; and BEGIN or SET accepted in a session whose key the owner of the service had refused, by a daemon that was behind. Cause: a session was closed together with an answer if its last request had not followed at once on the one before, which says nothing about the next. And since sessions of refused keys stay open, only the own table was asked for statements that are answered locally. Change: every session gets the 250 ms; a refusal holds until the table changes.

--- a/crates/persimmon-proxy/src/session.rs
+++ b/crates/persimmon-proxy/src/session.rs
@@ -5,8 +5,8 @@
 //! - Nothing is sent to a client that has no request outstanding.
 //! - A "not run" error is sent only if no instance can still commit the transaction.
 //! - A session that the daemon ends, and whose client keeps to the protocol, ends only once its
-//!   connection is at rest: every request that has arrived is answered, and a client that sends each
-//!   request at once on an answer has had the time to do so.
+//!   connection is at rest: every request that has arrived is answered, and a client that was just
+//!   answered has had the time to send its next one.
 //! - A session whose key was removed stays open, and its statements are refused.
 
 mod codec;
@@ -81,8 +81,8 @@
     tx: Tx,
     /// When the last answer was sent.
     answered_at: Time,
-    /// Whether the last request followed at once on the answer before it.
-    follows_at_once: bool,
+    /// The version of the active table when an owner of the service last refused the session's key.
+    refused_table: Option<u64>,
 }
 
 enum Wake {
@@ -121,7 +121,7 @@
         unpositioned_commit_at: Time::ZERO,
         tx: Tx::None,
         answered_at: Time::ZERO,
-        follows_at_once: true,
+        refused_table: None,
     };
     let reason = session.run().await;
     session.rollback_detached();
@@ -147,7 +147,6 @@
             self.codec.entry.set_phase(self.waiting_phase(handled));
             match self.wake().await {
                 Wake::Message(ClientMessage::Query(query)) => {
-                    self.follows_at_once = self.is_resting();
                     self.codec.entry.set_phase(Phase::Busy);
                     if self.codec.holds(&query) {
                         let connection = Rc::clone(&self.connection);
--- a/crates/persimmon-proxy/src/session/ending.rs
+++ b/crates/persimmon-proxy/src/session/ending.rs
@@ -122,21 +122,14 @@
         *self.worker.stage.borrow() >= ShutdownStage::AbortingTransactions
     }
 
-    /// Whether the client may be sending a request that follows at once on the last answer.
-    pub(super) fn is_resting(&self) -> bool {
-        Clock.now() < self.answered_at + REST_TIME
-    }
-
-    /// Time until the session ends if no message arrives; `None` if it does not end. A client that does
-    /// not send at once learns of the end together with its answer, and sends nothing meanwhile.
+    /// Time until the session ends if no message arrives; `None` if it does not end.
     pub(super) fn time_to_end(&self, stage: ShutdownStage) -> Option<Duration> {
         let ends = match stage {
             ShutdownStage::Serving | ShutdownStage::NotReady => false,
             ShutdownStage::ClosingIdle => matches!(self.tx, Tx::None),
             ShutdownStage::AbortingTransactions => true,
         };
-        let rest = if self.follows_at_once { REST_TIME } else { Duration::ZERO };
-        ends.then(|| (self.answered_at + rest).since(Clock.now()))
+        ends.then(|| (self.answered_at + REST_TIME).since(Clock.now()))
     }
 
     /// Closes the connection unless a message has arrived; returns whether the session ends. A message
@@ -147,7 +140,6 @@
         }
         if self.connection.has_partial_message() && !self.is_aborting() {
             self.answered_at = Clock.now();
-            self.follows_at_once = true;
             return false;
         }
         self.connection.try_close()
--- a/crates/persimmon-proxy/src/session/identity.rs
+++ b/crates/persimmon-proxy/src/session/identity.rs
@@ -163,7 +163,14 @@
     /// Refuses a statement whose key does not identify the session's workspace any more; returns whether
     /// the statement may run.
     pub(super) fn check_identity(&mut self, query: &Query) -> bool {
-        match self.identify() {
+        let known = match self.identify() {
+            // An owner of the service, whose table is newer, has refused the key.
+            Ok(()) if self.refused_table == Some(self.table_version()) => {
+                Err(IdentityProblem::UnknownKey)
+            }
+            identified => identified,
+        };
+        match known {
             // Without a route, the statement is refused where it needs one.
             Ok(()) | Err(IdentityProblem::NoTable | IdentityProblem::NoRoute) => true,
             Err(problem) => {
--- a/crates/persimmon-proxy/src/session/statements.rs
+++ b/crates/persimmon-proxy/src/session/statements.rs
@@ -79,7 +79,10 @@
                 }
                 self.send_answer(answer);
             }
-            Err(ErrorCode::UnknownKey) => self.refuse_key(query),
+            Err(ErrorCode::UnknownKey) => {
+                self.refused_table = Some(self.table_version());
+                self.refuse_key(query);
+            }
             Err(code) => {
                 if has_begun {
                     self.tx = if is_commit { Tx::None } else { Tx::Failed };
