Free the sent part of an answer that its client reads slowly

What callers would have seen: a daemon over the memory of its host, which ends with every request in flight. Cause: the buffer of a partly sent answer was kept whole, while only its rest counted as unread. Change: a buffer of which more than half is sent is replaced by its rest.

--- a/crates/persimmon-proxy/src/client_connection.rs
+++ b/crates/persimmon-proxy/src/client_connection.rs
@@ -37,6 +37,8 @@
     stream: RefCell<Option<TcpStream>>,
     input: RefCell<BytesMut>,
     output: RefCell<BytesMut>,
+    /// Bytes at the front of the output's buffer that are sent and still occupied.
+    sent: Cell<usize>,
     /// Whether the client has ended its messages.
     is_input_over: Cell<bool>,
     /// Why the connection broke.
@@ -57,6 +59,7 @@
             stream: RefCell::new(Some(stream)),
             input: RefCell::default(),
             output: RefCell::default(),
+            sent: Cell::new(0),
             is_input_over: Cell::new(false),
             failure: Cell::new(None),
             late_answers: Cell::new(0),
@@ -311,17 +314,21 @@
                     return;
                 };
                 match write(stream, &output) {
-                    Ok(count) => drop(output.split_to(count)),
-                    Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
+                    Ok(count) => {
+                        drop(output.split_to(count));
+                        self.sent.set(self.sent.get() + count);
+                    }
+                    Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
                     Err(err) => {
                         failure = Some(err);
                         break;
                     }
                 }
             }
-            if output.is_empty() {
-                // A large answer does not keep its buffer.
-                *output = BytesMut::new();
+            // The memory that unread answers occupy is that of what is left of them.
+            if output.is_empty() || self.sent.get() > output.len() {
+                *output = BytesMut::copy_from_slice(&output[..]);
+                self.sent.set(0);
             }
         }
         if let Some(err) = failure {
