--- a/crates/persimmon-soak/src/ends/logs.rs
+++ b/crates/persimmon-soak/src/ends/logs.rs
@@ -79,7 +79,12 @@
     let mut counts = BTreeMap::new();
     let mut violations = Vec::new();
     for folder in std::fs::read_dir(log_dir)? {
-        for file in std::fs::read_dir(folder?.path())? {
+        let folder = folder?.path();
+        // The list of violations of an earlier run lies beside the folders.
+        if !folder.is_dir() {
+            continue;
+        }
+        for file in std::fs::read_dir(folder)? {
             let path = file?.path();
             if path.extension().is_none_or(|extension| extension != "log") {
                 continue;
