Client connection: one wait for readiness, and comments that say what holds

Reading and writing waited for the socket in the same nine lines. Names and comments that promised more than the code does are corrected: what may close a connection before its session ends, and what asking the socket first means.

--- a/crates/persimmon-proxy/src/client_connection.rs
+++ b/crates/persimmon-proxy/src/client_connection.rs
@@ -83,7 +83,7 @@
         !self.input.borrow().is_empty()
     }
 
-    /// Bytes of answers that were not sent when the connection ended.
+    /// Bytes of answers that were left to be sent when the connection ended.
     pub(crate) fn dropped(&self) -> usize {
         self.dropped.get()
     }
@@ -124,12 +124,7 @@
             }
             // Answers that the client did not take at once leave meanwhile.
             let _ = self.poll_flush(cx);
-            self.wait(cx);
-            let is_ready = match &*self.stream.borrow() {
-                Some(stream) => stream.poll_read_ready(cx).is_ready(),
-                None => true,
-            };
-            if !is_ready {
+            if !self.is_ready(cx, TcpStream::poll_read_ready) {
                 return Poll::Pending;
             }
             self.read(|stream, buf| stream.try_read(buf));
@@ -187,20 +182,15 @@
             if self.unsent() == 0 {
                 return Poll::Ready(true);
             }
-            self.wait(cx);
-            let is_ready = match &*self.stream.borrow() {
-                Some(stream) => stream.poll_write_ready(cx).is_ready(),
-                None => true,
-            };
-            if !is_ready {
+            if !self.is_ready(cx, TcpStream::poll_write_ready) {
                 return Poll::Pending;
             }
             self.write(|stream, bytes| stream.try_write(bytes));
         }
     }
 
-    /// Sends what the socket takes; returns whether that was anything.
-    pub(crate) fn sends_more(&self) -> bool {
+    /// Sends what the socket takes of the answers; returns whether that was anything.
+    pub(crate) fn send_pending(&self) -> bool {
         let before = self.unsent();
         // The runtime may not have noticed yet that the client has read.
         self.write(|stream, bytes| SockRef::from(stream).send(bytes));
@@ -275,12 +265,18 @@
         count
     }
 
-    /// Has the task woken when the connection is closed.
-    fn wait(&self, cx: &Context<'_>) {
+    /// Whether the socket is ready, as `poll` tells; otherwise the task is woken when it is, or when the
+    /// connection is closed.
+    fn is_ready(
+        &self,
+        cx: &mut Context<'_>,
+        poll: fn(&TcpStream, &mut Context<'_>) -> Poll<io::Result<()>>,
+    ) -> bool {
         let mut waiter = self.waiter.borrow_mut();
         if !waiter.as_ref().is_some_and(|waker| waker.will_wake(cx.waker())) {
             *waiter = Some(cx.waker().clone());
         }
+        self.stream.borrow().as_ref().is_none_or(|stream| poll(stream, cx).is_ready())
     }
 
     /// Reads what the socket has, up to a limit.
--- a/crates/persimmon-proxy/src/session/ending.rs
+++ b/crates/persimmon-proxy/src/session/ending.rs
@@ -1,7 +1,7 @@
 //! The first message of a session, and its end.
 //!
-//! Invariant: every connection that had a session ends in [`end`], which counts what its client is still
-//! owed. Before that, only a connection without a whole message may have been closed.
+//! Invariant: every accepted connection that had room ends in [`end`], which counts what its client is
+//! still owed. It may have been closed before: without a whole message, or with answers that are not read.
 
 use std::io::ErrorKind;
 use std::sync::Arc;
--- a/crates/persimmon-proxy/src/session/flow.rs
+++ b/crates/persimmon-proxy/src/session/flow.rs
@@ -54,8 +54,8 @@
         self.send(&[refusal(code, RETRY_AFTER), ready(self.status(), None)]);
     }
 
-    /// Waits until the client's side has taken its answers, if they are large; returns whether the session continues. A
-    /// client that takes too long is closed by the sweep of sessions.
+    /// Waits until the client's side has taken its answers, if they are large; returns whether the session
+    /// continues. A client that takes too long is closed by the sweep of sessions.
     pub(super) async fn await_reader(&mut self) -> bool {
         let unread = self.connection.unsent();
         if unread < SMALL_ANSWER {
--- a/crates/persimmon-proxy/src/session/registry.rs
+++ b/crates/persimmon-proxy/src/session/registry.rs
@@ -142,8 +142,6 @@
             unread_to_close(self.views().into_iter(), entry.id, self.limits.unread_bytes)
         {
             Metrics::increment(&self.metrics.sessions_closed_unread);
-            // A session with unread answers is closed whatever its client has sent.
-            debug_assert_eq!(victim.phase, Phase::Unread);
             if !self.try_close(victim, EndReason::Unread, log) {
                 break;
             }
@@ -171,8 +169,9 @@
         self.entries.borrow().values().map(|entry| entry.view()).collect()
     }
 
-    /// Closes the connection of a session that waits for its client, unless a message has arrived, or
-    /// answers can be sent, that the session has not noticed yet; returns whether it is closed.
+    /// Closes the connection of a session that waits for its client, unless the client has sent a message,
+    /// or read answers for which another session needs its place, that the session has not noticed yet;
+    /// returns whether it is closed.
     pub(crate) fn try_close(
         &self,
         session: SessionView,
@@ -184,7 +183,7 @@
         };
         if session.phase == Phase::Unread {
             // Time in which the host stood still is not the client's.
-            if reason == EndReason::NoRoom && entry.connection.sends_more() {
+            if reason == EndReason::NoRoom && entry.connection.send_pending() {
                 entry.since.set(Clock.now());
                 return false;
             }
